Spread calls to discovery over the fleet, first ones and repeats

Of the 70 nodes killed and restarted at 11.6 s none got a list before 21 s; attempts at boxes long gone and at the few left over failed at 350 in two seconds (connect failed, full).

Ruled out: pauses of 0.01 s a node alone (calls still failed after 2 s for 14 s, since discovery works through calls that nobody waits for); the agent (it answered at once once its watch stood); lost changes (index and entries were right wherever a watch stood).

At fault: PAUSE and PAUSE_MOST in `watch`, and `start`, in src/net/discovery.rs.

Adds fastrand for the jitter.

--- a/src/main.rs
+++ b/src/main.rs
@@ -148,7 +148,7 @@
 
     let servers = Servers::new(budget.clone(), connect_timeout, conn_idle);
     let counter = Counter::new(counter.filter(|_| settings.counter.allowed), settings.counter.wait);
-    let discovery = Discovery::new(discovery, zones, kinds);
+    let discovery = Discovery::new(discovery, zones, kinds, seed, settings.nodes);
     let try_limit = settings.limits.try_limit;
     let controller = Controller::new(seed, settings);
     let node = Node::new(controller, try_limit, servers, counter.clone(), discovery.clone());
--- /dev/null
+++ b/src/net/backoff.rs
@@ -0,0 +1,64 @@
+//! Jittered backoff: the pauses between calls to a service that all nodes share.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+/// Pauses that double from the first to the most, each spread at random over half to one and a half times its
+/// length. Danger: nodes that start or fail together would call again together, for ever.
+pub struct Backoff {
+    random: Rng,
+    first: Duration,
+    most: Duration,
+    next: Duration,
+}
+
+impl Backoff {
+    /// Pauses of one node, by its seed.
+    pub fn new(seed: u64, first: Duration, most: Duration) -> Self {
+        Backoff { random: Rng::with_seed(seed), first, most, next: first }
+    }
+
+    /// How long to wait before the next call.
+    pub fn pause(&mut self) -> Duration {
+        let pause = self.next;
+        self.next = (pause * 2).min(self.most);
+        pause.mul_f64(0.5 + self.random.f64())
+    }
+
+    /// A part of the first pause at random, for what nodes that start together must not do together.
+    pub fn stagger(&mut self) -> Duration {
+        self.first.mul_f64(self.random.f64())
+    }
+
+    /// A call went well: the next pause is the first again.
+    pub fn reset(&mut self) {
+        self.next = self.first;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn pauses_double_to_the_most_and_nodes_do_not_keep_step() {
+        let (first, most) = (Duration::from_secs(1), Duration::from_secs(8));
+        let mut ends = Vec::new();
+        for seed in 0..100 {
+            let mut backoff = Backoff::new(seed, first, most);
+            let pauses: Vec<_> = (0..6).map(|_| backoff.pause()).collect();
+            for (pause, nominal) in pauses.iter().zip([1, 2, 4, 8, 8, 8]) {
+                let nominal = Duration::from_secs(nominal);
+                assert!((nominal / 2..=nominal * 3 / 2).contains(pause), "{pause:?} for {nominal:?}");
+            }
+            ends.push(pauses.iter().sum::<Duration>());
+            backoff.reset();
+            assert!(backoff.pause() <= first * 3 / 2);
+            assert!(backoff.stagger() <= first);
+        }
+        ends.sort();
+        let (early, late) = (ends[10], ends[90]);
+        assert!(late > early + Duration::from_secs(5), "most of the nodes within {:?}", late - early);
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -16,6 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
+use super::backoff::Backoff;
 use super::http::{whole, Connection};
 use super::node::Node;
 
@@ -27,9 +28,15 @@
 const FETCH_WAIT: Duration = Duration::from_secs(2);
 /// How long the first list of a new agent may take: what it knows counts as told 4 s after the move.
 const FIRST_WAIT: Duration = Duration::from_millis(500);
-/// Pause after a watch that failed, from the first to the last; a watch goes on only within 200 ms.
+/// Pause of a watch that does not wait.
 const PAUSE: Duration = Duration::from_millis(20);
-const PAUSE_MOST: Duration = Duration::from_millis(160);
+/// What each node of the fleet adds to the spread of first calls and of pauses after calls that failed, and how
+/// many times longer the last pause is than the first. Danger: discovery is one service of fixed capacity, and
+/// goes on working on calls that nobody waits for any more. A hundred nodes that call at once, and again as
+/// soon as they have failed, keep it full for ever. A fleet that starts makes no more than 20 calls a second,
+/// which is what an overbooked discovery was seen to answer.
+const SPREAD_EACH: Duration = Duration::from_millis(50);
+const SPREAD_GROWTH: u32 = 2;
 /// No list is this long.
 const LIST_MOST: usize = 8 * 1024 * 1024;
 
@@ -89,12 +96,21 @@
     /// The newest version taken in. Versions are an agent's own; none is known of a new one.
     index: Cell<Option<u64>>,
     watcher: RefCell<Option<AbortHandle>>,
+    backoff: RefCell<Backoff>,
 }
 
 impl Discovery {
-    /// Discovery at this address. Zones and kinds are told by name and numbered as in the settings.
-    pub fn new(address: SocketAddr, zones: Vec<String>, kinds: Vec<String>) -> Rc<Self> {
+    /// Discovery at this address, for one of so many nodes. Zones and kinds are told by name and numbered as in
+    /// the settings.
+    pub fn new(
+        address: SocketAddr,
+        zones: Vec<String>,
+        kinds: Vec<String>,
+        seed: u64,
+        nodes: u32,
+    ) -> Rc<Self> {
         Rc::new(Discovery {
+            backoff: RefCell::new(pace(seed, nodes)),
             address: Cell::new(address),
             zones,
             kinds,
@@ -104,10 +120,13 @@
         })
     }
 
-    /// Takes in the list that the node had before its start, and watches from there on for ever.
+    /// Takes in the list that the node had before its start, and watches from there on for ever. With a list to
+    /// go by, the first call is staggered.
     pub fn start(self: &Rc<Self>, node: &Rc<Node>, known: List) {
+        let stagger =
+            if known.endpoints.is_empty() { Duration::ZERO } else { self.backoff.borrow_mut().stagger() };
         self.take(node, known, ListKind::Stale);
-        self.spawn(node);
+        self.spawn(node, stagger);
     }
 
     /// Goes on with the agent at this address. Danger: its versions have nothing to do with the old one's, so
@@ -115,20 +134,23 @@
     pub fn move_to(self: &Rc<Self>, node: &Rc<Node>, address: SocketAddr) {
         if self.address.replace(address) != address {
             self.index.set(None);
-            self.spawn(node);
+            self.spawn(node, Duration::ZERO);
         }
     }
 
-    fn spawn(self: &Rc<Self>, node: &Rc<Node>) {
+    fn spawn(self: &Rc<Self>, node: &Rc<Node>, after: Duration) {
         let (discovery, node) = (self.clone(), node.clone());
-        let task = tokio::task::spawn_local(async move { discovery.watch(&node).await });
+        let task = tokio::task::spawn_local(async move {
+            tokio::time::sleep(after).await;
+            discovery.watch(&node).await;
+        });
         if let Some(old) = self.watcher.replace(Some(task.abort_handle())) {
             old.abort();
         }
     }
 
     async fn watch(&self, node: &Rc<Node>) {
-        let (mut connection, mut pause, mut failing) = (None, PAUSE, false);
+        let (mut connection, mut failing) = (None, false);
         loop {
             let (path, wait) = match self.index.get() {
                 Some(index) => (
@@ -140,7 +162,8 @@
             let begun = Instant::now();
             match self.get(&mut connection, &path, wait).await {
                 Ok(list) => {
-                    (pause, failing) = (PAUSE, false);
+                    failing = false;
+                    self.backoff.borrow_mut().reset();
                     let nothing = list.endpoints.is_empty() && !list.snapshot && self.index.get().is_some();
                     let whole = list.snapshot || self.index.get().is_none();
                     let kind = if whole { ListKind::Whole } else { ListKind::Changes };
@@ -158,8 +181,8 @@
                         eprintln!("pinerelay: discovery: {failure}; trying on");
                     }
                     connection = None;
+                    let pause = self.backoff.borrow_mut().pause();
                     tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(PAUSE_MOST);
                 }
             }
         }
@@ -273,6 +296,12 @@
     }
 }
 
+/// The pace of one node's calls, such that all nodes together leave discovery room.
+fn pace(seed: u64, nodes: u32) -> Backoff {
+    let first = (SPREAD_EACH * nodes).max(PAUSE);
+    Backoff::new(seed, first, first * SPREAD_GROWTH)
+}
+
 /// A server's number, from its name alone so that all nodes agree: FNV-1a.
 fn number(name: &str) -> ServerId {
     let step = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
@@ -283,6 +312,23 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_hundred_nodes_whose_calls_all_fail_do_not_crowd_discovery() {
+        // Calls fail after 2 s, as they do at a service that is full.
+        let mut calls = vec![0; 60];
+        for seed in 0..100 {
+            let mut backoff = pace(seed, 100);
+            let mut at = backoff.stagger();
+            while at < Duration::from_secs(60) {
+                calls[at.as_secs() as usize] += 1;
+                at += Duration::from_secs(2) + backoff.pause();
+            }
+        }
+        assert!(calls.iter().all(|&n| n <= 36), "calls by second: {calls:?}");
+        assert!(calls.iter().sum::<usize>() <= 20 * 60, "calls by second: {calls:?}");
+        assert!(pace(1, 3).pause() < Duration::from_millis(250), "few nodes need not wait");
+    }
+
     #[test]
     fn a_name_gives_the_same_number_everywhere() {
         // Published FNV-1a values: the number must not change from build to build, or nodes would differ.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sockets round the decisions: one file for each kind of peer, and the node that joins them.
 
+pub mod backoff;
 pub mod budget;
 pub mod clients;
 pub mod counter;
