Let each node of a large fleet send to its own subset of the boxes

Design: server choice is a guard of our own; DSRT untouched.

At fault: `choose` in src/control.rs weighed all listed boxes at every node, however few requests it had.

--- a/src/control.rs
+++ b/src/control.rs
@@ -55,6 +55,10 @@
 const BREAKS_MOST: u32 = 3;
 /// A cold server no slower than the fleet gets this much over its sure share; far under the fall multiple.
 const COLD_PACE: f64 = 1.5;
+/// How many nodes share a server at least: enough that their loads even out. And how many servers a node uses
+/// at least: enough that some are left when a third is lost.
+const COVER: usize = 24;
+const SUBSET_LEAST: usize = 12;
 /// How soon own counts outweigh the lot, in attempts out at each server.
 const SEEN: f64 = 60.0;
 /// How long failures by kind are remembered, and how much a sure failure adds to a server's cost.
@@ -614,9 +618,22 @@
         self.customers.retain(|_, c| !(idle(c) && over(c)));
     }
 
+    /// The servers that this node sends to: deterministic subsetting. Danger: at a hundred nodes each would
+    /// meet every server so seldom that it pays for a handshake each time and learns of each only by being
+    /// harmed. The ids, in the same order at all nodes, are shared out by the nodes' numbers, so that each
+    /// server is in as many subsets as any other. The next ones stand in for those that are ejected.
+    fn subset(&self) -> Vec<ServerId> {
+        let listed: Vec<_> = self.servers.iter().filter(|(_, s)| s.listed).collect();
+        let nodes = self.set.nodes.max(1) as usize;
+        let most = (listed.len() * COVER).div_ceil(nodes).max(SUBSET_LEAST);
+        let first = self.set.me as usize * listed.len() / nodes;
+        let round = listed.iter().cycle().skip(first).take(listed.len());
+        round.filter(|(_, s)| s.ejected <= self.now).take(most).map(|(&key, _)| key).collect()
+    }
+
     /// What this node sends a second to a warm server, in the mean.
-    fn per_server(&self) -> f64 {
-        let warm: f64 = self.servers.values().filter(|s| s.listed).map(|s| self.warmth(s)).sum();
+    fn per_server(&self, subset: &[ServerId]) -> f64 {
+        let warm: f64 = subset.iter().filter_map(|k| self.servers.get(k)).map(|s| self.warmth(s)).sum();
         self.sends.get(self.now, RATE_SPAN) / warm.max(1.0)
     }
 
@@ -657,7 +674,8 @@
         let r = self.requests.get(id)?;
         let class = &self.set.classes[r.class];
         let bound = r.ran.map(|(_, place)| place);
-        let per_server = self.per_server();
+        let subset = self.subset();
+        let per_server = self.per_server(&subset);
         let safe = class.effect == Effect::Safe;
         // Danger: a node with next to nothing out would always take the largest server. The less its own
         // counts tell, the more the lot decides: exponential, so that servers are drawn by their size.
@@ -670,7 +688,7 @@
         let common = |kind| (kind, self.tally.get(&kind).map_or(0.0, |t| t.mean(now, 0.0, TALLY_SPAN)));
         let kinds = [r.class, self.set.classes.len() + r.plan, LOST].map(common);
         let failing = kinds.iter().any(|k| k.1 > 0.01);
-        let mut best: Option<((bool, bool, f64), ServerId)> = None;
+        let mut best: Option<((bool, bool, bool, f64), ServerId)> = None;
         for (&key, s) in &self.servers {
             let in_group = match (class.effect, class.group, bound) {
                 (Effect::Keyed, Group::Zone, Some((zone, _))) => s.zone == zone,
@@ -688,7 +706,8 @@
             if warmth < 1.0 && s.slow.store + per_server * warmth * span < 1.0 {
                 continue;
             }
-            let due = warmth < 1.0 && s.strikes == 0;
+            let near = subset.contains(&key);
+            let due = near && warmth < 1.0 && s.strikes == 0;
             let closed = s.ejected > self.now || self.silent(s);
             if !closed && s.strikes > 0 && (!safe || s.out.back().is_some_and(|&sent| sent >= s.ejected)) {
                 continue;
@@ -704,7 +723,7 @@
             // Where a node always has work out at a server, silence shows by itself.
             let fails = class.max(plan).max(lost * (2.0 * blind).min(1.0));
             let cost = cost * far * (1.0 + FAIL_COST * fails).powi(2);
-            let order = (closed, !due, cost);
+            let order = (closed, !near, !due, cost);
             if best.is_none_or(|(b, _)| order < b) {
                 best = Some((order, key));
             }
@@ -737,7 +756,7 @@
         if let Some(c) = self.customers.get_mut(&r.customer) {
             c.open += 1;
         }
-        let per_server = self.per_server();
+        let per_server = self.per_server(&self.subset());
         self.sends.add(now, 1.0, RATE_SPAN);
         let warmth = self.servers.get(&server).map_or(1.0, |s| self.warmth(s));
         if let Some(s) = self.servers.get_mut(&server) {
