--- a/src/control.rs
+++ b/src/control.rs
@@ -23,8 +23,8 @@
 /// One count name lives for this long: long against a burst, within the minute that the counter keeps it.
 const WINDOW: Micros = 30_000_000;
 const KEEP: Micros = 60_000_000;
-/// What the filling overflowed is taken off the total once it is this part of a burst. Until then the overflow
-/// can be spent on top of the burst; each time it is taken off costs a call.
+/// What the filling overflowed is taken off the total once it is this part of a burst. Until then it can be
+/// spent on top of the burst; each time it is taken off costs a call.
 const OVERFLOW: f64 = 0.25;
 /// Smoothing of demand and draw rates: a few requests of a busy customer, less than a spike lasts.
 const RATE_SPAN: f64 = 2.0e6;
