Tell overflow taken off an account once at most

Design: leases as before.

At fault, by reading and by the test: `on_counted` and `settle` in src/control.rs put the overflow of a call that was not added back among the draws still to be told, so it went along with the next call, long after another node had taken the same overflow off.

Ruled out: grants (units beyond quota did not rise). Not caught in the act; see 'Open' in docs/design.md.

--- a/src/control.rs
+++ b/src/control.rs
@@ -135,6 +135,8 @@
     /// Draws without a call that this one reports too; of them what it stands for as a sample.
     told: f64,
     proxy: f64,
+    /// And what of them is overflow taken off, which is told once at most: the next total shows what is left.
+    burn: f64,
     at: Micros,
     /// Answers to it that could not be read, or did not come since its connection broke.
     unread: u32,
@@ -461,7 +463,7 @@
         let name = count_name(key, window_of(key, self.now));
         let proxy = amount.max(0.0) * std::mem::take(&mut c.stands);
         let told = std::mem::take(&mut c.untold) + proxy;
-        c.call = Some(Call { amount, told, proxy, at: self.now, unread: 0, doubtful: false });
+        c.call = Some(Call { amount, told, proxy, burn: 0.0, at: self.now, unread: 0, doubtful: false });
         self.calls.insert(name, key);
         out.push(Action::Count { name, amount: amount + told, keep_for: KEEP });
     }
@@ -515,7 +517,7 @@
             self.counter_rest = (rest * 2).min(COUNTER_REST_MAX);
             // Of a call that was read again this says nothing.
             if outcome != Outcome::TimedOut && call.unread == 0 {
-                c.untold += call.told;
+                c.untold += call.told - call.burn;
                 c.lease += (-call.amount).max(0.0);
             }
         }
@@ -524,6 +526,8 @@
         } else if !call.doubtful && (burn < 0.0 || burn > 0.0 && self.asking > 0.5) {
             c.untold += burn;
             self.count(key, 0.0, out);
+            let call = self.customers.get_mut(&key).and_then(|c| c.call.as_mut());
+            call.into_iter().for_each(|call| call.burn = burn.max(0.0));
         }
         self.serve_waiting(key, out);
     }
@@ -1026,7 +1030,7 @@
         return;
     }
     if sum > 0.0 && grown < sum {
-        c.untold += call.told - call.proxy;
+        c.untold += call.told - call.proxy - call.burn;
     }
     (call.amount, call.told, call.proxy) = (0.0, 0.0, 0.0);
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -332,3 +332,23 @@
     }
     assert_eq!(refusals, 0, "of 8 requests, one at a time, to an idle fleet");
 }
+
+#[test]
+fn an_overflow_that_could_not_be_taken_off_is_not_taken_off_later() {
+    let mut n = Node::new(settings(), 4);
+    for _ in 0..8 {
+        n.wait(4 * SECOND);
+        let (id, actions) = n.ask(0, 1.0);
+        let (name, amount) = call(&actions).expect("a call");
+        let actions = n.counted(name, Outcome::Ok, amount);
+        let (_, server) = sent(&actions)[0];
+        n.end(&id, 0, server, Outcome::Ok);
+        let Some((name, burn)) = call(&actions).filter(|c| c.1 > 0.0) else { continue };
+        n.counted(name, Outcome::ConnectFailed, 0.0);
+        // Another node has taken it off meanwhile.
+        n.wait(2 * SECOND);
+        let (_, next) = (0..8).find_map(|_| call(&n.ask(0, 1.0).1)).expect("a call");
+        return assert!(next < burn, "{burn} could not be told, and {next} is told with the next call");
+    }
+    panic!("an idle customer's overflow was never taken off");
+}
