Watch an agent at once, and bound the spread of calls by the told time

Cause: src/net/discovery.rs, `pace` (50 ms a node, 15 s at 300) for the first watch in `start` and for pauses. The spread is meant for one discovery that all nodes ask (`ask`). Ruled out: late answers (every fetch and watch was answered within 20 ms of its news), lists taken in wrongly (no break at a node that watched by then).

Now where the list is pushed there is no spread, and pauses after failures are 20 to 160 ms, within the 200 ms in which a watch goes on. Where it is asked for, the first call keeps room for its answer within the 6 s after which all counts as told, and pauses grow with the fleet up to the same 6 s only. After a move (SIGHUP, 4 s) no pause is longer than half a second.

--- a/src/main.rs
+++ b/src/main.rs
@@ -22,7 +22,7 @@
 use net::budget::Budget;
 use net::clients::{Clients, Rules};
 use net::counter::Counter;
-use net::discovery::{Discovery, List};
+use net::discovery::{Discovery, List, Pace};
 use net::node::Node;
 use net::servers::Servers;
 
@@ -148,7 +148,8 @@
 
     let servers = Servers::new(budget.clone(), connect_timeout, conn_idle);
     let counter = Counter::new(counter.filter(|_| settings.counter.allowed), settings.counter.wait);
-    let discovery = Discovery::new(discovery, zones, kinds, seed, settings.nodes);
+    let pace = Pace::new(seed, settings.nodes, settings.list_on_request);
+    let discovery = Discovery::new(discovery, zones, kinds, pace);
     let try_limit = settings.limits.try_limit;
     let controller = Controller::new(seed, settings);
     let node = Node::new(controller, try_limit, servers, counter.clone(), discovery.clone());
