Lose nothing at a planned stop: backlog, half-read heads, short deadlines

- main.rs reckoned the last moment from the longest deadline alone.
With deadlines under 0.6 s it lay before the listener's end at 0.9 s, so the node ended at once after it had failed what was open, with the answers unwritten ("a whole answer before the node's end").
The timetable is now a module of its own, checked for all deadlines.
- clients.rs: accept() was aborted.
With no descriptor free what waited in the backlog was reset, its requests with it ("the connection was reset in the backlog").
The backlog is now taken in, out of what is kept back.
- clients.rs: a connection that was told to close did so though part of a request had been read ("news in time: Timeout", the rest of the request found a closed connection), and a new one though its first request might lie unread.
It now closes only when nothing has begun and nothing lies unread in the socket, else its answer says that it closes.
- A request whose body ended after the last moment was begun and then lost with the process.
It fails at once.
- control.rs: what the counter granted after the leases had been handed back was kept and lost to the account.

Checked and found sound: an answer with unread bytes behind its request (the close is announced before it), SIGTERM twice, SIGHUP during a stop with a good and a bad file.

The socket is now shared by the connection and its watch, which costs one more read a request.

--- a/src/control.rs
+++ b/src/control.rs
@@ -234,6 +234,8 @@
     /// When customers and servers were last looked through.
     swept: Micros,
     ticking: bool,
+    /// A planned stop: what is granted from here on and serves nobody goes back at once.
+    stopping: bool,
     customers: BTreeMap<CustomerId, Customer>,
     /// Calls out, by name: one at a time for a customer.
     calls: BTreeMap<CountName, CustomerId>,
@@ -302,7 +304,10 @@
             Event::Counted { name, outcome, total } => self.on_counted(name, outcome, total, out),
             Event::CountedLate { name, outcome, total } => self.on_counted_late(name, outcome, total, out),
             Event::Timer { .. } => self.on_tick(out),
-            Event::Stopping => self.hand_back(0, out),
+            Event::Stopping => {
+                self.stopping = true;
+                self.hand_back(0, out);
+            }
             Event::Probed { .. } => {}
         }
     }
@@ -520,6 +525,9 @@
             call.into_iter().for_each(|call| call.burn = burn.max(0.0));
         }
         self.serve_waiting(key, out);
+        if self.stopping {
+            self.hand_back(0, out);
+        }
     }
 
     /// Books the total of a call that was added; tells what is to go back, and what overflow to take off.
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 use net::budget::Budget;
 use net::clients::{Clients, Rules};
@@ -25,17 +25,8 @@
 use net::discovery::{Discovery, List, Pace};
 use net::node::Node;
 use net::servers::Servers;
+use net::stop::Timetable;
 
-/// After SIGTERM new connections go on coming for 0.4 s: idle ones are closed after the first span, while
-/// what crosses that can still connect anew, and the listener closes after the second.
-const IDLE_AFTER: Duration = Duration::from_millis(450);
-const DEAF_AFTER: Duration = Duration::from_millis(450);
-/// Danger: SIGKILL may come as soon as the longest deadline (3 s at most) and 0.7 s after SIGTERM, and what it
-/// finds unanswered is lost. What is open this long after SIGTERM has failed; a node stays no longer than the
-/// rest, which is for answers still being written.
-const PATIENCE_MOST: Duration = Duration::from_secs(3);
-const PATIENCE_OVER: Duration = Duration::from_millis(300);
-const LAST_GRACE: Duration = Duration::from_millis(200);
 /// How often a node that stops looks whether all is answered.
 const LAST_LOOKS: Duration = Duration::from_millis(10);
 const BACKLOG: u32 = 1024;
@@ -142,7 +133,8 @@
     let mut env = config.settings;
     let (zones, kinds) = (std::mem::take(&mut env.zones), std::mem::take(&mut env.kinds));
     let (connect_timeout, conn_idle) = (env.bounds.connect_timeout, env.bounds.conn_idle);
-    let patience = Duration::from_micros(env.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
+    let longest = env.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let timetable = Timetable::new(Duration::from_micros(longest));
     let rules = Rules::new(&env);
     let settings = Settings::from(env);
 
@@ -162,20 +154,20 @@
     let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
 
     either(&mut terminate, &mut interrupt).await;
-    let last = Instant::now() + patience.min(PATIENCE_MOST) + PATIENCE_OVER;
+    let begun = Instant::now();
     node.stop();
-    sleep(IDLE_AFTER).await;
+    sleep_until(begun + timetable.idle).await;
     clients.close_idle();
-    sleep(DEAF_AFTER).await;
-    accepting.abort();
+    sleep_until(begun + timetable.deaf).await;
+    clients.close_listener();
     node.event(Event::Stopping);
     clients.close_idle();
-    let over = || !node.waited_for() && budget.clients() == 0 && counter.settled();
-    while !over() && Instant::now() < last {
+    let over = || accepting.is_finished() && !node.waited_for() && budget.clients() == 0 && counter.settled();
+    while !over() && Instant::now() < begun + timetable.fail {
         sleep(LAST_LOOKS).await;
     }
     node.fail_all();
-    while !over() && Instant::now() < last + LAST_GRACE {
+    while !over() && Instant::now() < begun + timetable.end {
         sleep(LAST_LOOKS).await;
     }
     Ok(())
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -65,13 +65,20 @@
         self.take(false)
     }
 
+    /// A slot for a client's connection beyond all bounds, out of what is kept back: for what the machine has
+    /// accepted when the listener closes, which nobody else will answer.
+    pub fn beyond(self: &Rc<Self>) -> Slot {
+        self.give(true)
+    }
+
     fn take(self: &Rc<Self>, client: bool) -> Option<Slot> {
-        if self.used.get() >= self.most {
-            return None;
-        }
+        (self.used.get() < self.most).then(|| self.give(client))
+    }
+
+    fn give(self: &Rc<Self>, client: bool) -> Slot {
         self.used.set(self.used.get() + 1);
         self.clients.set(self.clients.get() + usize::from(client));
-        Some(Slot { budget: self.clone(), client })
+        Slot { budget: self.clone(), client }
     }
 
     /// Whether the whole is used up, and not just the clients' part.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,11 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::str::FromStr;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,10 +23,11 @@
 use hyper_util::rt::TokioIo;
 use mountbend::interface::{CustomerId, Micros, NewRequest, RequestId};
 use mountbend::wire::{Env, WireEffect};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 use super::budget::{Budget, Slot, Ticket};
 use super::http::{whole, BadBody};
@@ -79,6 +83,9 @@
     budget: Rc<Budget>,
     /// Each change tells the connections open by then to close as soon as they are idle.
     closing: watch::Sender<u32>,
+    /// The listener is to close.
+    deaf: Cell<bool>,
+    deafened: Notify,
     /// The open connections.
     open: RefCell<BTreeMap<u64, Rc<Idle>>>,
     opened: Cell<u64>,
@@ -92,6 +99,8 @@
             rules,
             budget,
             closing: watch::channel(0).0,
+            deaf: Cell::new(false),
+            deafened: Notify::new(),
             open: RefCell::default(),
             opened: Cell::default(),
         });
@@ -112,12 +121,25 @@
         self.closing.send_modify(|n| *n += 1);
     }
 
-    /// Accepts for ever. Guard: with no descriptor left it waits for one, idle connections being closed
-    /// first; what the machine has accepted meanwhile waits in the backlog.
+    /// Closes the listener, once what the machine has accepted by now is taken in.
+    pub fn close_listener(&self) {
+        self.deaf.set(true);
+        self.deafened.notify_one();
+    }
+
+    /// Accepts until the listener is to close. Guard: with no descriptor left it waits for one, idle connections
+    /// being closed first; what the machine has accepted meanwhile waits in the backlog.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let slot = self.slot().await;
-            match listener.accept().await {
+            let next = async {
+                let slot = self.slot().await;
+                (listener.accept().await, slot)
+            };
+            let (accepted, slot) = tokio::select! {
+                next = next => next,
+                _ = self.deafened.notified() => break,
+            };
+            match accepted {
                 Ok((stream, _)) => self.open(stream, slot),
                 Err(error) => {
                     drop(slot);
@@ -127,6 +149,21 @@
                 }
             }
         }
+        self.drain(&listener).await;
+    }
+
+    /// Danger: what lies in the backlog as the listener closes is reset, though its clients have connected and
+    /// may have sent a request. It is taken in beyond the budget, and as descriptors come free.
+    async fn drain(self: &Rc<Self>, listener: &TcpListener) {
+        // The runtime hears of what has come by now.
+        tokio::task::yield_now().await;
+        loop {
+            match poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await {
+                Poll::Ready(Ok((stream, _))) => self.open(stream, self.budget.beyond()),
+                Poll::Ready(Err(_)) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                Poll::Pending => return,
+            }
+        }
     }
 
     async fn slot(&self) -> Slot {
@@ -139,7 +176,7 @@
     fn open(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         // Counted as new from here on, and not from when its task first runs.
         self.budget.fresh();
-        let close = Rc::new(Notify::new());
+        let (stream, close) = (Rc::new(stream), Rc::new(Notify::new()));
         let idle = Rc::new(Idle {
             budget: self.budget.clone(),
             close: close.clone(),
@@ -149,6 +186,8 @@
             used: Cell::new(false),
             busy: Cell::new(false),
             head_since: Cell::new(Some(Instant::now())),
+            begun: Cell::new(false),
+            told: Cell::new(self.deaf.get()),
         });
         let clients = self.clone();
         let mut closing = self.closing.subscribe();
@@ -164,28 +203,49 @@
                     idle.used.set(true);
                     idle.busy.set(true);
                     idle.head_since.set(None);
+                    idle.begun.set(false);
                     idle.end();
-                    let response = clients.answer(request).await;
+                    let mut response = clients.answer(request).await;
+                    if idle.told.get() {
+                        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                    }
                     idle.busy.set(false);
                     idle.begin();
                     Ok::<_, Infallible>(response)
                 }
             });
-            let connection = http1::Builder::new()
-                .max_buf_size(HEAD_MOST)
-                .header_read_timeout(None)
-                .serve_connection(TokioIo::new(Watched { stream, idle: idle.clone() }), service);
+            let connection =
+                http1::Builder::new().max_buf_size(HEAD_MOST).header_read_timeout(None).serve_connection(
+                    TokioIo::new(Watched { stream: stream.clone(), idle: idle.clone() }),
+                    service,
+                );
             let mut connection = std::pin::pin!(connection);
             // Danger: the first request of a new connection may lie unread; only one that stays silent is idle.
             let mut silent = std::pin::pin!(tokio::time::sleep(FIRST_REQUEST));
-            let mut new = true;
-            loop {
+            let (mut new, mut told_by) = (true, Instant::now() + CLOSE_WAIT);
+            // Danger: a request that has come in part, or lies unread, is lost if its connection is closed now. It is
+            // served first, and its answer says that the connection closes.
+            while !(idle.told.get() && idle.quiet() && !unread(&stream)) {
                 tokio::select! {
+                    biased;
                     _ = connection.as_mut() => return,
-                    _ = close.notified() => break,
                     // Danger: half a head, or none, would hold the descriptor for ever. No request has been taken.
                     _ = idle.cut.notified() => return,
-                    _ = closing.changed() => break,
+                    _ = close.notified() => {
+                        idle.told.set(true);
+                        told_by = Instant::now() + CLOSE_WAIT;
+                    }
+                    Ok(()) = closing.changed() => {
+                        idle.told.set(true);
+                        told_by = Instant::now() + CLOSE_WAIT;
+                    }
+                    // Guard against one that neither ends its head nor takes its last answer.
+                    _ = sleep_until(told_by), if idle.told.get() => {
+                        if !idle.busy.get() {
+                            return;
+                        }
+                        told_by += CLOSE_WAIT;
+                    }
                     _ = silent.as_mut(), if new => {
                         new = false;
                         idle.matured();
@@ -196,9 +256,6 @@
                 }
             }
             connection.as_mut().graceful_shutdown();
-            if !idle.used.get() && !idle.busy.get() {
-                return;
-            }
             while timeout(CLOSE_WAIT, connection.as_mut()).await.is_err() {
                 if idle.ticket.get().is_some() {
                     return;
@@ -389,55 +446,88 @@
     busy: Cell<bool>,
     /// Since when a head is under way.
     head_since: Cell<Option<Instant>>,
+    /// Part of a head has come.
+    begun: Cell<bool>,
+    /// It is to close as soon as nothing is under way.
+    told: Cell<bool>,
 }
 
 /// A client's socket that notes when something comes while no request is open.
 struct Watched {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     idle: Rc<Idle>,
 }
 
 impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before && !self.idle.busy.get() && self.idle.head_since.get().is_none() {
-            self.idle.head_since.set(Some(Instant::now()));
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(_) => break,
+            }
+        }
+        if buf.filled().len() > before && !self.idle.busy.get() {
+            self.idle.begun.set(true);
+            if self.idle.head_since.get().is_none() {
+                self.idle.head_since.set(Some(Instant::now()));
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Watched {
+    /// Writes by `write` as soon as the socket takes something.
+    fn poll_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
         }
-        polled
     }
 }
 
 impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
 
+/// Whether bytes lie unread in the socket. Asked of the machine itself: the runtime may not have heard of them.
+fn unread(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_ok_and(|count| count > 0)
+}
+
 /// A connection's place on the list of open ones.
 struct Listed {
     clients: Rc<Clients>,
@@ -465,6 +555,11 @@
         self.ticket.set(Some(self.budget.idle(self.close.clone(), self.used.get())));
     }
 
+    /// Whether no request is open, none has come in part, and none may lie unread because the connection is new.
+    fn quiet(&self) -> bool {
+        !self.busy.get() && !self.begun.get() && !self.fresh.get()
+    }
+
     /// Whether a head has been under way for too long.
     fn overdue(&self) -> bool {
         !self.busy.get() && self.head_since.get().is_some_and(|since| since.elapsed() > HEAD_WAIT)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,3 +9,4 @@
 pub mod node;
 pub mod reuse;
 pub mod servers;
+pub mod stop;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -85,6 +85,8 @@
     events: RefCell<VecDeque<Event>>,
     busy: Cell<bool>,
     stopping: Cell<bool>,
+    /// The last moment of a planned stop has come: nothing more is begun.
+    over: Cell<bool>,
 }
 
 /// A request under an id that is still in work.
@@ -110,6 +112,7 @@
             events: RefCell::default(),
             busy: Cell::new(false),
             stopping: Cell::new(false),
+            over: Cell::new(false),
         })
     }
 
@@ -128,8 +131,9 @@
         self.open.borrow().values().any(|o| o.answer.is_some())
     }
 
-    /// The last moment of a planned stop: what is still unanswered has failed.
+    /// The last moment of a planned stop: what is still unanswered has failed, and so has what still comes.
     pub fn fail_all(self: &Rc<Self>) {
+        self.over.set(true);
         let left: Vec<_> = self.open.borrow().keys().cloned().collect();
         for id in left {
             let waited = self.open.borrow_mut().get_mut(&id).and_then(|o| o.answer.take());
@@ -202,6 +206,11 @@
         forward: Forward,
     ) -> Result<oneshot::Receiver<Answer>, Duplicate> {
         let (sender, receiver) = oneshot::channel();
+        // Danger: a body may end at the last moment, and what is begun then is lost with the node.
+        if self.over.get() {
+            let _ = sender.send(Answer::Failed);
+            return Ok(receiver);
+        }
         let open = Open {
             answer: Some(sender),
             forward: Rc::new(forward),
--- /dev/null
+++ b/src/net/stop.rs
@@ -0,0 +1,58 @@
+//! The timetable of a planned stop, from SIGTERM on.
+
+use std::time::Duration;
+
+/// The machine is killed so long after SIGTERM at the soonest: the longest deadline, counted as three seconds
+/// where it is longer, and this much more. What is unanswered then is lost.
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+/// New connections go on coming for 0.4 s: idle ones are closed after this, and what crosses that can still
+/// connect anew until the listener closes, unless the kill comes too soon after.
+const IDLE: Duration = Duration::from_millis(450);
+const DEAF: Duration = Duration::from_millis(900);
+const DEAF_BEFORE_KILL: Duration = Duration::from_millis(200);
+/// What is open this long before the kill has failed, and this long before it the node ends: the rest is for
+/// answers still being written. With the shortest deadlines both come right behind the listener's end.
+const FAIL_BEFORE_KILL: Duration = Duration::from_millis(400);
+const END_BEFORE_KILL: Duration = Duration::from_millis(200);
+const FLUSH_LEAST: Duration = Duration::from_millis(100);
+
+/// When what is done, as spans from SIGTERM.
+pub struct Timetable {
+    /// Idle connections are closed.
+    pub idle: Duration,
+    /// The listener is closed.
+    pub deaf: Duration,
+    /// What is unanswered has failed.
+    pub fail: Duration,
+    /// The node ends, whatever is still being written.
+    pub end: Duration,
+}
+
+impl Timetable {
+    /// For settings whose longest deadline is this one. Danger: reckoned from the deadline alone, the last moment
+    /// of a stop lay before the listener's end where all deadlines are short, and the node ended with answers
+    /// unwritten.
+    pub fn new(longest_deadline: Duration) -> Self {
+        let kill = longest_deadline.min(DEADLINE_MOST) + KILLED_AFTER;
+        let deaf = DEAF.min(kill - DEAF_BEFORE_KILL);
+        let fail = (kill - FAIL_BEFORE_KILL).max(deaf);
+        Timetable { idle: IDLE, deaf, fail, end: (kill - END_BEFORE_KILL).max(fail + FLUSH_LEAST) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn whatever_the_deadlines_each_step_has_its_time_and_all_is_over_before_the_kill() {
+        for ms in (0..5_000).step_by(10) {
+            let kill = Duration::from_millis(ms.min(3_000) + 700);
+            let t = Timetable::new(Duration::from_millis(ms));
+            assert!(t.idle > Duration::from_millis(400), "new connections come until then");
+            assert!(t.idle < t.deaf && t.deaf <= t.fail, "deadlines of {ms} ms");
+            assert!(t.fail + FLUSH_LEAST <= t.end && t.end + FLUSH_LEAST <= kill, "deadlines of {ms} ms");
+        }
+    }
+}
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -576,6 +576,11 @@
         String::from_utf8_lossy(&rest).into_owned()
     }
 
+    /// Whether the connection ends with nothing more, and in order.
+    pub fn ends_in_order(&mut self) -> bool {
+        self.reader.fill_buf().is_ok_and(<[u8]>::is_empty)
+    }
+
     /// Whether an answer has begun to come.
     pub fn has_answer(&mut self) -> bool {
         let short = Some(Duration::from_millis(1));
