Send nothing for a client that has left, and an id used again only once

Found by reading the places where a request waits; each shown by a test that failed before.

- A connection that comes up late: an attempt that waits for one, or for a descriptor, went on after its client had left and was sent whenever the connection came (node.rs `gone` told the decisions and let the attempt be).
Seen: with a full backlog at the app server the request stayed in work ("still in work though its client has left") and would have been written first.
`gone` now ends what has not begun to be written.

Waiting for a further attempt and for the counter was found sound: both pass over what is answered.

--- a/src/control.rs
+++ b/src/control.rs
@@ -950,6 +950,9 @@
         r.answered = true;
         if let Some(c) = self.customers.get_mut(&r.customer).filter(|_| r.attempts.is_empty()) {
             c.lease += r.drew;
+            // Danger: a client may use an id again at once, and a place left behind would send it twice.
+            c.waiting.retain(|waiting| waiting != id);
+            self.parked.retain(|parked| parked != id);
         }
         if r.attempts.iter().all(|a| !a.out) {
             self.requests.remove(id);
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::future::poll_fn;
+use std::future::{pending, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -24,7 +24,7 @@
 use mountbend::interface::{CustomerId, Micros, NewRequest, RequestId};
 use mountbend::wire::{Env, WireEffect};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
@@ -51,6 +51,9 @@
 const BODY_WAIT: Duration = Duration::from_millis(1_500);
 /// How often connections are looked at for that.
 const LOOK: Duration = Duration::from_millis(250);
+/// How often it is looked whether a client is still there that has sent more than the open request. What waits
+/// for one that has left is not to be sent on 0.3 s later.
+const LEFT_LOOK: Duration = Duration::from_millis(50);
 /// How long a connection that is told to close may still take to answer what crosses.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
 /// Pause of the listener when accepting fails.
@@ -197,7 +200,7 @@
             // Without it answers are late, not wrong.
             let _ = stream.set_nodelay(true);
             let service = service_fn(|request| {
-                let (clients, idle) = (clients.clone(), idle.clone());
+                let (clients, idle, stream) = (clients.clone(), idle.clone(), stream.clone());
                 async move {
                     idle.matured();
                     idle.used.set(true);
@@ -205,7 +208,15 @@
                     idle.head_since.set(None);
                     idle.begun.set(false);
                     idle.end();
-                    let mut response = clients.answer(request).await;
+                    let mut response = tokio::select! {
+                        biased;
+                        response = clients.answer(request) => response,
+                        () = left(&stream) => {
+                            idle.cut.notify_one();
+                            // The connection, and this with it, is dropped for that.
+                            pending().await
+                        }
+                    };
                     if idle.told.get() {
                         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                     }
@@ -522,6 +533,17 @@
     }
 }
 
+/// Comes back once the client has closed its side. Danger: bytes behind an open request are not read before its
+/// answer, and they hide the close from whoever waits to read it.
+async fn left(stream: &TcpStream) {
+    loop {
+        match stream.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => tokio::time::sleep(LEFT_LOOK).await,
+            _ => return,
+        }
+    }
+}
+
 /// Whether bytes lie unread in the socket. Asked of the machine itself: the runtime may not have heard of them.
 fn unread(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -60,6 +60,8 @@
     sent: Micros,
     /// Its task, while the attempt is out.
     task: Option<AbortHandle>,
+    /// Whether it may have been written, in whole or in part.
+    begun: Rc<Cell<bool>>,
 }
 
 struct Open {
@@ -235,9 +237,21 @@
         let waited = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take());
         if waited.is_some() {
             self.event(Event::Gone { id: id.clone() });
+            self.call_back(id);
         }
     }
 
+    /// Ends the attempts that still wait for a connection or a descriptor. Danger: these come up at any later
+    /// time, and what nobody waits for would be sent then.
+    fn call_back(self: &Rc<Self>, id: &RequestId) {
+        let open = self.open.borrow();
+        let attempts = open.get(id).into_iter().flat_map(|o| o.attempts.iter().enumerate());
+        let unsent = attempts.filter(|(_, a)| a.task.is_some() && !a.begun.get()).map(|(number, _)| number);
+        let unsent: Vec<_> = unsent.collect();
+        drop(open);
+        unsent.into_iter().for_each(|number| self.end(id, number, Outcome::Ignored, None));
+    }
+
     fn finish(&self, id: &RequestId, answer: Answer) {
         if let Some(sender) = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take()) {
             // A client that has just gone is told of by its connection.
@@ -262,7 +276,7 @@
             return;
         };
         let number = open.attempts.len();
-        let mut attempt = Attempt { server, sent: now, task: None };
+        let mut attempt = Attempt { server, sent: now, task: None, begun: Rc::default() };
         if open.answer.is_none() || number >= self.try_limit || now >= open.stop {
             open.attempts.push(attempt);
             let finished = open.answer.is_none();
@@ -280,10 +294,10 @@
             }));
         }
         let stop = if timeout > 0 { open.stop.min(now + timeout) } else { open.stop };
-        let (node, forward) = (self.clone(), open.forward.clone());
+        let (node, forward, begun) = (self.clone(), open.forward.clone(), attempt.begun.clone());
         let key = id.clone();
         let task = tokio::task::spawn_local(async move {
-            let (outcome, body) = node.servers.attempt(&node.clock, server, &forward, stop).await;
+            let (outcome, body) = node.servers.attempt(&node.clock, server, &forward, stop, &begun).await;
             node.end(&key, number, outcome, body);
         });
         attempt.task = Some(task.abort_handle());
@@ -296,7 +310,7 @@
         let Some(open) = requests.get_mut(id) else { return };
         let Some(attempt) = open.attempts.get_mut(number) else { return };
         let Some(task) = attempt.task.take() else { return };
-        if outcome == Outcome::Cancelled {
+        if matches!(outcome, Outcome::Cancelled | Outcome::Ignored) {
             // Closes the connection too: that is how an app server learns of it.
             task.abort();
         }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -177,12 +177,14 @@
     }
 
     /// Makes one attempt and tells how it ended, as the protocol's table has it. With the body, if served.
+    /// `begun` holds while some of it may have been written.
     pub async fn attempt(
         &self,
         clock: &Clock,
         server: ServerId,
         forward: &Forward,
         stop: Micros,
+        begun: &Cell<bool>,
     ) -> (Outcome, Option<Bytes>) {
         let until = clock.instant(stop);
         let mut fresh_only = false;
@@ -201,6 +203,7 @@
             let message = request.take().unwrap_or_else(|| build(forward, host, left));
             let Line { mut connection, generation, idle } = line;
             let heard = connection.heard();
+            begun.set(true);
             let answer = tokio::select! {
                 biased;
                 answer = timeout_at(until, self.exchange(&mut connection, message)) => match answer {
@@ -225,6 +228,7 @@
                 Err(Broken::Unwritten(message)) if idle.is_some() => {
                     request = Some(*message);
                     fresh_only = true;
+                    begun.set(false);
                 }
                 Err(Broken::Unwritten(_)) => return (Outcome::ConnectFailed, None),
                 Err(Broken::Doubtful) => return (Outcome::Reset, None),
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -111,7 +111,10 @@
 
 impl App {
     pub fn new() -> App {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        App::on(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    pub fn on(listener: TcpListener) -> App {
         let address = listener.local_addr().expect("an address");
         let (sender, news) = channel();
         let lines = Lines::default();
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -217,3 +217,33 @@
         send_one(&mut n, 0);
     }
 }
+
+#[test]
+fn an_id_that_is_used_again_while_its_first_request_waited_is_sent_once() {
+    // Waiting for the counter, and waiting for an app server to be listed.
+    for (set, servers) in [(settings(), 2), (open(), 0)] {
+        let mut n = Node::new(set, servers);
+        let request = |now| NewRequest {
+            id: "again".into(),
+            customer: CustomerId(1),
+            class: 2,
+            plan: 0,
+            units: 1.0,
+            first_node: 0,
+            spread: 3,
+            marked_retry: false,
+            due: now + 2 * SECOND,
+        };
+        let held = n.event(Event::Request(request(n.now)));
+        assert!(sent(&held).is_empty());
+        n.event(Event::Gone { id: "again".into() });
+        n.event(Event::Request(request(n.now)));
+        let mut actions = match call(&held) {
+            Some((name, amount)) => n.counted(name, Outcome::Ok, amount),
+            None => Vec::new(),
+        };
+        n.event(Event::Members { kind: ListKind::Changes, entries: vec![member(9, MemberState::In, 0)] });
+        actions.extend(n.tick());
+        assert_eq!(sent(&actions).len(), 1, "with {servers} servers");
+    }
+}
