Hear the agent before the first request, and take no list that is none

Found by reading; each shown by a test with an agent whose answers the test holds (tests/watches.rs), which failed:

- clients.rs: requests were accepted at once, though what the agent holds counts as told from a process's first moment ("sent before the agent was heard": a request went to a box that the agent held as draining).
The listener now waits for the first list, 250 ms at most (an agent that is up answers at once; the drain's grace is 500 ms), and not where all nodes ask one discovery, whose first calls are spread.
- discovery.rs `fetch` knew a move by the address alone.
Moved away and back, an old fetch's answer was taken for the new agent's ("news in time: Timeout": all boxes of the newer list were out).
- discovery.rs: a list without entries, or a whole list none of whose entries can be read, took every box out ("row 0: taken as a list: left Some(2)").
It is malformed, and the old one stands.
- discovery.rs: the version of an answer without changes was not taken, so the next watch was answered at once again ("left Some(1)"), fifty times a second.

Found sound, with tests that passed before: a list that breaks off, comes indented, is shorter than before; a silent agent.

--- a/src/main.rs
+++ b/src/main.rs
@@ -141,6 +141,7 @@
     let servers = Servers::new(budget.clone(), connect_timeout, conn_idle);
     let counter = Counter::new(counter.filter(|_| settings.counter.allowed), settings.counter.wait);
     let pace = Pace::new(seed, settings.nodes, settings.list_on_request);
+    let agent = !settings.list_on_request;
     let discovery = Discovery::new(discovery, zones, kinds, pace);
     let try_limit = settings.limits.try_limit;
     let controller = Controller::new(seed, settings);
@@ -149,9 +150,15 @@
     eprintln!("pinerelay: listening on {}", listener.local_addr().map_err(StartError::System)?);
     discovery.start(&node, config.known);
     counter.start(&node);
-    tokio::task::spawn_local(reload(hangup, path, node.clone(), discovery, counter.clone()));
+    tokio::task::spawn_local(reload(hangup, path, node.clone(), discovery.clone(), counter.clone()));
     let clients = Clients::new(node.clone(), rules, budget.clone());
-    let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
+    // Where all nodes ask one discovery, their first calls are spread, and nobody waits for them.
+    let told = async move {
+        if agent {
+            discovery.told().await;
+        }
+    };
+    let accepting = tokio::task::spawn_local(clients.clone().accept(listener, told));
 
     either(&mut terminate, &mut interrupt).await;
     let begun = Instant::now();
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::future::{pending, poll_fn};
+use std::future::{pending, poll_fn, Future};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -51,6 +51,9 @@
 const BODY_WAIT: Duration = Duration::from_millis(1_500);
 /// How often connections are looked at for that.
 const LOOK: Duration = Duration::from_millis(250);
+/// How long the first clients wait for the first list. An agent that is up answers at once; one that is silent
+/// must not keep them waiting.
+const FIRST_LIST: Duration = Duration::from_millis(250);
 /// How often it is looked whether a client is still there that has sent more than the open request. What waits
 /// for one that has left is not to be sent on 0.3 s later.
 const LEFT_LOOK: Duration = Duration::from_millis(50);
@@ -130,9 +133,11 @@
         self.deafened.notify_one();
     }
 
-    /// Accepts until the listener is to close. Guard: with no descriptor left it waits for one, idle connections
+    /// Accepts until the listener is to close, from when discovery has told what it holds. Danger: an agent's list
+    /// counts as told from a process's first moment, and the list as known may be long out of date. Guard: with no descriptor left it waits for one, idle connections
     /// being closed first; what the machine has accepted meanwhile waits in the backlog.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, told: impl Future<Output = ()>) {
+        let _ = timeout(FIRST_LIST, told).await;
         loop {
             let next = async {
                 let slot = self.slot().await;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, StatusCode, Uri};
 use mountbend::interface::{Event, ListKind, Member, MemberState, ServerId};
 use serde::Deserialize;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
@@ -57,8 +58,21 @@
     #[serde(default)]
     snapshot: bool,
     /// Read one by one: one that is malformed must not hide the others.
-    #[serde(default)]
-    endpoints: Vec<serde_json::Value>,
+    endpoints: Option<Vec<serde_json::Value>>,
+}
+
+impl List {
+    fn is_empty(&self) -> bool {
+        self.endpoints.as_ref().is_none_or(Vec::is_empty)
+    }
+
+    /// Whether it is a list at all. Danger: a whole one without entries, or with none that can be read, would take
+    /// every app server out. Of changes one that can't be read is passed over.
+    fn readable(&self) -> bool {
+        let readable = |value: &serde_json::Value| Endpoint::deserialize(value).is_ok();
+        let whole = |all: &Vec<_>| !self.snapshot || all.is_empty() || all.iter().any(readable);
+        self.endpoints.as_ref().is_some_and(whole)
+    }
 }
 
 #[derive(Deserialize)]
@@ -84,6 +98,7 @@
     Broken,
     Status(StatusCode),
     Malformed(serde_json::Error),
+    Unreadable,
 }
 
 impl fmt::Display for Failure {
@@ -93,6 +108,7 @@
             Failure::Broken => f.write_str("the connection failed"),
             Failure::Status(status) => write!(f, "answer {status}"),
             Failure::Malformed(error) => write!(f, "malformed list: {error}"),
+            Failure::Unreadable => f.write_str("malformed list: no entry can be read"),
         }
     }
 }
@@ -107,6 +123,10 @@
     index: Cell<Option<u64>>,
     watcher: RefCell<Option<AbortHandle>>,
     pace: RefCell<Pace>,
+    /// How often discovery has moved: what was asked before a move says nothing after it.
+    moves: Cell<u64>,
+    /// Whether discovery has told anything since the start.
+    heard: watch::Sender<bool>,
 }
 
 impl Discovery {
@@ -121,14 +141,15 @@
             names: RefCell::default(),
             index: Cell::default(),
             watcher: RefCell::default(),
+            moves: Cell::default(),
+            heard: watch::channel(false).0,
         })
     }
 
     /// Takes in the list that the node had before its start, and watches from there on for ever. With a list to
     /// go by, the first call is staggered.
     pub fn start(self: &Rc<Self>, node: &Rc<Node>, known: List) {
-        let stagger =
-            if known.endpoints.is_empty() { Duration::ZERO } else { self.pace.borrow_mut().first_call() };
+        let stagger = if known.is_empty() { Duration::ZERO } else { self.pace.borrow_mut().first_call() };
         self.take(node, known, ListKind::Stale);
         self.spawn(node, stagger);
     }
@@ -137,6 +158,7 @@
     /// it is asked for the whole list first, and what the old one still says is dropped with its watch.
     pub fn move_to(self: &Rc<Self>, node: &Rc<Node>, address: SocketAddr) {
         if self.address.replace(address) != address {
+            self.moves.set(self.moves.get() + 1);
             self.index.set(None);
             self.spawn(node, Duration::ZERO);
         }
@@ -168,14 +190,19 @@
                 Ok(list) => {
                     failing = false;
                     self.pace.borrow_mut().reset();
-                    let nothing = list.endpoints.is_empty() && !list.snapshot && self.index.get().is_some();
+                    let nothing = list.is_empty() && !list.snapshot && self.index.get().is_some();
                     let whole = list.snapshot || self.index.get().is_none();
                     let kind = if whole { ListKind::Whole } else { ListKind::Changes };
                     // Danger: a fetch may have brought a newer list meanwhile; older changes would undo it.
                     let old = kind == ListKind::Changes && Some(list.index) < self.index.get();
                     if !nothing && !old {
                         self.take(node, list, kind);
-                    } else if begun.elapsed() < PAUSE {
+                        continue;
+                    }
+                    // A version that brings no change is still the one to go on from.
+                    self.index.set(self.index.get().max(Some(list.index)));
+                    self.hear();
+                    if begun.elapsed() < PAUSE {
                         // Danger: a watch that does not wait would keep the core busy.
                         tokio::time::sleep(PAUSE).await;
                     }
@@ -194,11 +221,11 @@
 
     /// Fetches the whole list once.
     pub fn fetch(self: &Rc<Self>, node: &Rc<Node>) {
-        let (discovery, node, address) = (self.clone(), node.clone(), self.address.get());
+        let (discovery, node, moves) = (self.clone(), node.clone(), self.moves.get());
         tokio::task::spawn_local(async move {
             let answer = discovery.get(&mut None, "/discovery/hosts", FETCH_WAIT).await;
-            if discovery.address.get() != address {
-                // The new agent is asked for its whole list anyway.
+            if discovery.moves.get() != moves {
+                // The new agent is asked for its whole list anyway. Danger: the same address after two moves.
                 return;
             }
             match answer {
@@ -240,18 +267,36 @@
             return Err(Failure::Status(status));
         }
         *connection = Some(line);
-        serde_json::from_slice(&body).map_err(Failure::Malformed)
+        let list: List = serde_json::from_slice(&body).map_err(Failure::Malformed)?;
+        if list.readable() {
+            Ok(list)
+        } else {
+            Err(Failure::Unreadable)
+        }
+    }
+
+    /// Comes back once discovery has told what it holds.
+    pub async fn told(&self) {
+        // The sender lives as long as this does.
+        let _ = self.heard.subscribe().wait_for(|&heard| heard).await;
+    }
+
+    fn hear(&self) {
+        self.heard.send_if_modified(|heard| !std::mem::replace(heard, true));
     }
 
     fn take(&self, node: &Rc<Node>, list: List, kind: ListKind) {
         self.index.set(Some(list.index));
         let entries: Vec<Member> =
-            list.endpoints.into_iter().filter_map(|value| self.entry(node, value)).collect();
+            list.endpoints.into_iter().flatten().filter_map(|value| self.entry(node, value)).collect();
         if kind != ListKind::Changes {
             self.names.borrow_mut().retain(|id, _| entries.iter().any(|m| m.server == *id));
             node.servers.keep_only(&entries.iter().map(|m| m.server).collect::<Vec<_>>());
         }
         node.event(Event::Members { kind, entries });
+        if kind != ListKind::Stale {
+            self.hear();
+        }
     }
 
     fn entry(&self, node: &Rc<Node>, value: serde_json::Value) -> Option<Member> {
