--- a/src/control.rs
+++ b/src/control.rs
@@ -43,8 +43,8 @@
 const COUNTER_REST: Micros = 50_000;
 const COUNTER_REST_MAX: Micros = 800_000;
 /// What guesses may cost by what they let through beyond quotas: a share of what is asked, and so much of the
-/// dearest request saved up. The operators bear a tenth of the worth. Retries are asked for, too, and what was
-/// let through was some three times what the risk told, since looks lag behind: hence a sixth of the tenth.
+/// dearest request saved up. The operators bear a tenth of the worth. What was let through was some three
+/// times what the risk told, since looks lag behind and retries are asked for, too: hence a sixth of that.
 const GUESS_SHARE: f64 = 0.015;
 const GUESS_STORE: f64 = 3.0;
 /// How often a total is read again whose answer could not be read.
