Start the ledger of guesses full, and read what lies behind a last answer

A node that has just started had nothing in its ledger. It now starts full, as the retry budget starts with something saved. What lies behind the last answer is now read first, 200 ms and 256 KiB at most (clients.rs `linger`).

--- a/src/control.rs
+++ b/src/control.rs
@@ -284,13 +284,14 @@
     /// A node at its start. It knows no servers until the first list comes.
     pub fn new(seed: u64, set: Settings) -> Self {
         Controller {
-            set,
             random: seed,
             counter_rest: COUNTER_REST,
             asking: 1.0,
             latency: LATENCY_START,
             deviation: LATENCY_START / 2.0,
             retries: RETRY_STORE / 2.0,
+            guesses: GUESS_STORE * dearest(&set),
+            set,
             ..Controller::default()
         }
     }
@@ -346,11 +347,8 @@
             Request { customer: key, class, plan, units, due, marked, arrived: now, ..Request::default() };
         self.requests.insert(id.clone(), request);
         if let Some(p) = self.set.plans.get(new.plan) {
-            let credit = self.set.classes.iter().map(|c| c.credit).fold(0.0, f64::max);
-            let factor = self.set.plans.iter().map(|p| p.worth_factor).fold(0.0, f64::max);
-            let (dearest, worth) =
-                (credit * factor, self.set.classes[new.class].credit * p.worth_factor * units);
-            self.guesses = (self.guesses + GUESS_SHARE * worth).min(GUESS_STORE * dearest);
+            let worth = self.set.classes[new.class].credit * p.worth_factor * units;
+            self.guesses = (self.guesses + GUESS_SHARE * worth).min(GUESS_STORE * dearest(&self.set));
         }
         if !new.marked_retry {
             self.patience.insert(new.class, new.due.saturating_sub(now));
@@ -1082,6 +1080,12 @@
     }
 }
 
+/// The worth of a unit of the dearest request.
+fn dearest(set: &Settings) -> f64 {
+    let credit = set.classes.iter().map(|c| c.credit).fold(0.0, f64::max);
+    credit * set.plans.iter().map(|p| p.worth_factor).fold(0.0, f64::max)
+}
+
 /// What the fleet's bucket should hold now, if the others go on drawing as they did.
 fn projected(c: &Customer, plan: &Plan, now: Micros) -> f64 {
     let span = now.saturating_sub(c.level_at) as f64 / 1e6;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -59,6 +59,9 @@
 const LEFT_LOOK: Duration = Duration::from_millis(50);
 /// How long a connection that is told to close may still take to answer what crosses.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
+/// For how long, and how much, is read behind a last answer.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_MOST: usize = 256 * 1024;
 /// Pause of the listener when accepting fails.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -244,7 +247,7 @@
             while !(idle.told.get() && idle.quiet() && !unread(&stream)) {
                 tokio::select! {
                     biased;
-                    _ = connection.as_mut() => return,
+                    _ = connection.as_mut() => return linger(&stream).await,
                     // Danger: half a head, or none, would hold the descriptor for ever. No request has been taken.
                     _ = idle.cut.notified() => return,
                     _ = close.notified() => {
@@ -549,6 +552,26 @@
     }
 }
 
+/// Danger: a socket closed over unread bytes is reset, and its last answer with it, if that is still on its way.
+/// What lies there is read, up to a bound; where nothing does, this costs one look.
+async fn linger(stream: &TcpStream) {
+    let mut rest = LINGER_MOST;
+    let read = async {
+        let mut bytes = [0; 4096];
+        while rest > 0 && stream.readable().await.is_ok() {
+            match stream.try_read(&mut bytes) {
+                Ok(0) => return,
+                Ok(count) => rest = rest.saturating_sub(count),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    };
+    if unread(stream) {
+        let _ = timeout(LINGER, read).await;
+    }
+}
+
 /// Whether bytes lie unread in the socket. Asked of the machine itself: the runtime may not have heard of them.
 fn unread(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
