Move unit tests to test files, and make room for a scale rig beside the edge node

Cause: unit tests of the network code stood inside src/, where only the binary saw their modules; a server's id of 32 bits leaves no room for two names with one number; and a rig to measure size needs a crate of its own, so that the edge node's build and dependencies stay as they are.

Change: src/net is part of the library, and its seven unit tests stand in tests/ word for word (backoff, replies, paces, timetable, budget, reuse), with what they reach made public and documented. ServerId holds 64 bits; numbers are given as before. The repository is a workspace with crates/scale-rig: command line, report and errors; its four subcommands refuse with one line until they are there.

--- /dev/null
+++ b/crates/scale-rig/src/decisions.rs
@@ -0,0 +1,22 @@
+//! What the decision module takes for a request, a tick and a list, alone.
+
+use clap::Args;
+use serde::Serialize;
+
+use crate::error::RigError;
+use crate::report::Output;
+
+/// Arguments of `decisions`.
+#[derive(Args, Debug, Clone, Serialize)]
+pub struct Options {
+    /// Where the figures go.
+    #[command(flatten)]
+    #[serde(skip)]
+    pub output: Output,
+}
+
+/// Makes the run and tells its figures.
+pub fn run(options: Options) -> Result<(), RigError> {
+    let _ = options;
+    Err(RigError::Argument("not there yet".into()))
+}
--- /dev/null
+++ b/crates/scale-rig/src/error.rs
@@ -0,0 +1,28 @@
+//! Why a run could not be made.
+
+/// Why a run could not be made; its text is the one line that the user sees.
+#[derive(Debug, thiserror::Error)]
+pub enum RigError {
+    /// An argument that parses but can't be used.
+    #[error("{0}")]
+    Argument(String),
+    /// The edge node could not be started, or ended by itself.
+    #[error("the edge node: {0}")]
+    EdgeNode(String),
+    /// A file could not be read or written.
+    #[error("{path}: {source}")]
+    File {
+        /// The file.
+        path: String,
+        /// What went wrong.
+        source: std::io::Error,
+    },
+    /// The machine refused something that the run needs.
+    #[error("{what}: {source}")]
+    System {
+        /// What was asked of it.
+        what: &'static str,
+        /// What went wrong.
+        source: std::io::Error,
+    },
+}
--- /dev/null
+++ b/crates/scale-rig/src/main.rs
@@ -0,0 +1,45 @@
+//! The command line of the scale rig.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use scale_rig::{decisions, fleet, node, slopes};
+
+/// Measures how the edge node's cost, memory, traffic and service grow with the fleet.
+///
+/// Everything runs on loopback addresses, within bounds of count and time, and ends by itself.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// One real edge node process before stand-ins of all its peers
+    Node(node::Options),
+    /// Hollow nodes on one simulated clock, before model app servers and one model counter
+    Fleet(fleet::Options),
+    /// What the decision module takes for a request, a tick and a list, alone
+    Decisions(decisions::Options),
+    /// A ladder of sizes, and how each figure grows along it
+    Slopes(slopes::Options),
+}
+
+fn main() -> ExitCode {
+    let result = match Cli::parse().command {
+        Command::Node(options) => node::run(options),
+        Command::Fleet(options) => fleet::run(options),
+        Command::Decisions(options) => decisions::run(options),
+        Command::Slopes(options) => slopes::run(options),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("scale-rig: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale-rig/src/node.rs
@@ -0,0 +1,22 @@
+//! One real edge node process before stand-ins of all its peers.
+
+use clap::Args;
+use serde::Serialize;
+
+use crate::error::RigError;
+use crate::report::Output;
+
+/// Arguments of `node`.
+#[derive(Args, Debug, Clone, Serialize)]
+pub struct Options {
+    /// Where the figures go.
+    #[command(flatten)]
+    #[serde(skip)]
+    pub output: Output,
+}
+
+/// Makes the run and tells its figures.
+pub fn run(options: Options) -> Result<(), RigError> {
+    let _ = options;
+    Err(RigError::Argument("not there yet".into()))
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -17,7 +17,7 @@
 
 /// A server's id, the same at every node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
-pub struct ServerId(pub u32);
+pub struct ServerId(pub u64);
 
 /// The customer a request belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 
 pub mod control;
 pub mod interface;
+pub mod net;
 pub mod wire;
 
 #[cfg(doctest)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,6 @@
 //! pinerelay: one edge node. Configuration, runtime, signals and the planned stop.
 #![forbid(unsafe_code)]
 
-mod net;
-
 use std::fmt;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -19,13 +17,13 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::{sleep, sleep_until, Instant};
 
-use net::budget::Budget;
-use net::clients::{Clients, Rules};
-use net::counter::Counter;
-use net::discovery::{Discovery, List, Pace};
-use net::node::Node;
-use net::servers::Servers;
-use net::stop::Timetable;
+use mountbend::net::budget::Budget;
+use mountbend::net::clients::{Clients, Rules};
+use mountbend::net::counter::Counter;
+use mountbend::net::discovery::{Discovery, List, Pace};
+use mountbend::net::node::Node;
+use mountbend::net::servers::Servers;
+use mountbend::net::stop::Timetable;
 
 /// How often a node that stops looks whether all is answered.
 const LAST_LOOKS: Duration = Duration::from_millis(10);
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 /// Descriptors kept back for the listener, discovery, the counter, the runtime and the standard streams.
-const KEPT_BACK: usize = 24;
+pub const KEPT_BACK: usize = 24;
 /// The share of the slots that clients may hold: every request in work needs one on either side.
 const CLIENT_SHARE: f64 = 0.6;
 /// How long a connection that is told to close has for it before the next one is told so.
@@ -172,23 +172,3 @@
         b.ease();
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_kept_connection_makes_room_unless_half_of_all_are_too_new_to_tell() {
-        let budget = Budget::new(KEPT_BACK + 20);
-        budget.idle(Rc::default(), true);
-        (0..5).for_each(|_| budget.fresh());
-        assert!(budget.close_an_idle_client(), "a few new ones must not keep it");
-        budget.idle(Rc::default(), true);
-        budget.fresh();
-        assert!(!budget.close_an_idle_client(), "a flood must not push it out");
-        budget.idle(Rc::default(), false);
-        assert!(budget.close_an_idle_client(), "one that stayed silent goes first");
-        budget.matured();
-        assert!(budget.close_an_idle_client());
-    }
-}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -13,6 +13,8 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
+use crate::interface::{CustomerId, Micros, NewRequest, RequestId};
+use crate::wire::{Env, WireEffect};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -21,8 +23,6 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use mountbend::interface::{CustomerId, Micros, NewRequest, RequestId};
-use mountbend::wire::{Env, WireEffect};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::interface::{CountName, Event, Micros, Outcome};
 use bytes::{Buf, BytesMut};
-use mountbend::interface::{CountName, Event, Micros, Outcome};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -286,17 +286,21 @@
     );
 }
 
+/// A reply of the counter.
 #[derive(Debug, PartialEq)]
-enum Reply {
+pub enum Reply {
+    /// Added; the total.
     Total(f64),
+    /// Turned away, nothing added.
     Busy,
 }
 
+/// What is no reply of a counter.
 #[derive(Debug, PartialEq)]
-struct Garbage;
+pub struct Garbage;
 
 /// Takes one whole reply off the buffer, if it holds one.
-fn decode(buffer: &mut BytesMut) -> Result<Option<Reply>, Garbage> {
+pub fn decode(buffer: &mut BytesMut) -> Result<Option<Reply>, Garbage> {
     let plausible = |head: &[u8]| match head {
         [] => true,
         [b'-', why @ ..] => {
@@ -339,34 +343,3 @@
         _ => Err(Garbage),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn replies_are_taken_whole() {
-        let mut buffer = BytesMut::from(&b"$3\r\n2.5\r\n-BUSY later\r\n$1\r\n7"[..]);
-        assert_eq!(decode(&mut buffer), Ok(Some(Reply::Total(2.5))));
-        assert_eq!(decode(&mut buffer), Ok(Some(Reply::Busy)));
-        assert_eq!(decode(&mut buffer), Ok(None));
-        buffer.extend_from_slice(b"\r\n");
-        assert_eq!(decode(&mut buffer), Ok(Some(Reply::Total(7.0))));
-        assert_eq!(decode(&mut BytesMut::from("$")), Ok(None));
-        let bad: [&[u8]; 10] = [
-            b"?\r\n",
-            b"\r\n",
-            b"$-1\r\n",
-            b"$3\r\nabc\r\n",
-            b"$3\r\nNaN\r\n",
-            b"$1\r\n22\r\n",
-            b"$1234",
-            b"-OOPS",
-            b"\xff",
-            b"HTTP",
-        ];
-        for bad in bad {
-            assert_eq!(decode(&mut BytesMut::from(bad)), Err(Garbage), "{bad:?}");
-        }
-    }
-}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,11 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::interface::{Event, ListKind, Member, MemberState, ServerId};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Request, StatusCode, Uri};
-use mountbend::interface::{Event, ListKind, Member, MemberState, ServerId};
 use serde::Deserialize;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
@@ -26,25 +26,27 @@
 const WAIT_MS: u64 = 4_000;
 const GRACE: Duration = Duration::from_millis(1_000);
 /// How long a fetch of the whole list may take.
-const FETCH_WAIT: Duration = Duration::from_secs(2);
+pub const FETCH_WAIT: Duration = Duration::from_secs(2);
 /// How long the first list of a new agent may take: what it knows counts as told 4 s after the move.
-const FIRST_WAIT: Duration = Duration::from_millis(500);
+pub const FIRST_WAIT: Duration = Duration::from_millis(500);
 /// Pause of a watch that does not wait.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Calls to an agent on this machine that failed are made again after these pauses: it answers at no cost, and
 /// a watch goes on as one while each call comes within 200 ms of the last answer.
 const AGENT_PAUSE: Duration = Duration::from_millis(20);
-const AGENT_PAUSE_MOST: Duration = Duration::from_millis(160);
+/// The longest of these.
+pub const AGENT_PAUSE_MOST: Duration = Duration::from_millis(160);
 /// What each node of the fleet adds to the spread of first calls and of pauses after calls that failed, where
 /// all nodes ask one discovery, and how many times longer the last pause is than the first. Danger: that is one
 /// service of fixed capacity, and goes on working on calls that nobody waits for any more. A hundred nodes that
 /// call at once, and again as soon as they have failed, keep it full for ever. A fleet of a hundred that starts
 /// makes some 20 calls a second, which is what an overbooked discovery was seen to answer.
 const SPREAD_EACH: Duration = Duration::from_millis(50);
-const SPREAD_GROWTH: u32 = 2;
+/// How many times longer than the first.
+pub const SPREAD_GROWTH: u32 = 2;
 /// Whatever discovery has to tell counts as told by then, so no spread is longer, however many the nodes; and a
 /// first call needs time for its answer, too.
-const TOLD_AFTER: Duration = Duration::from_secs(6);
+pub const TOLD_AFTER: Duration = Duration::from_secs(6);
 const FIRST_CALL_MOST: Duration = TOLD_AFTER.saturating_sub(FETCH_WAIT);
 /// After a move the list counts as told sooner, 4 s after SIGHUP: no longer pause until it has come.
 const MOVED_PAUSE_MOST: Duration = Duration::from_millis(500);
@@ -365,11 +367,13 @@
         Pace { backoff: Backoff::new(seed, first, first * SPREAD_GROWTH), spread: first.min(FIRST_CALL_MOST) }
     }
 
-    fn first_call(&mut self) -> Duration {
+    /// How late the first call of a node is that has a list to go by.
+    pub fn first_call(&mut self) -> Duration {
         self.backoff.part_of(self.spread)
     }
 
-    fn pause(&mut self, moved: bool) -> Duration {
+    /// How long to wait after a call that failed; `moved`: discovery has moved and not told its list yet.
+    pub fn pause(&mut self, moved: bool) -> Duration {
         let pause = self.backoff.pause();
         if moved {
             pause.min(MOVED_PAUSE_MOST)
@@ -384,61 +388,7 @@
 }
 
 /// A server's number, from its name alone so that all nodes agree: FNV-1a.
-fn number(name: &str) -> ServerId {
+pub fn number(name: &str) -> ServerId {
     let step = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    ServerId(name.bytes().fold(0x811c_9dc5, step))
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Calls by second of a fleet whose calls all fail after 2 s, as they do at a service that is full.
-    fn calls(nodes: u32) -> Vec<usize> {
-        let mut calls = vec![0; 60];
-        for seed in 0..u64::from(nodes) {
-            let mut pace = Pace::new(seed, nodes, true);
-            let mut at = pace.first_call();
-            while at < Duration::from_secs(60) {
-                calls[at.as_secs() as usize] += 1;
-                at += Duration::from_secs(2) + pace.pause(false);
-            }
-        }
-        calls
-    }
-
-    #[test]
-    fn a_hundred_nodes_whose_calls_all_fail_do_not_crowd_discovery() {
-        let calls = calls(100);
-        assert!(calls.iter().all(|&n| n <= 40), "calls by second: {calls:?}");
-        assert!(calls.iter().sum::<usize>() <= 20 * 60, "calls by second: {calls:?}");
-        assert!(Pace::new(1, 3, true).pause(false) < Duration::from_millis(250), "few nodes need not wait");
-    }
-
-    #[test]
-    fn however_many_the_nodes_a_list_is_asked_for_before_it_counts_as_told() {
-        for seed in 0..300 {
-            let mut pace = Pace::new(seed, 300, true);
-            assert!(pace.first_call() + FETCH_WAIT <= TOLD_AFTER);
-            assert!(pace.pause(true) + FIRST_WAIT <= Duration::from_secs(1), "after a move it has 4 s");
-            assert!((0..9).all(|_| pace.pause(false) <= TOLD_AFTER * SPREAD_GROWTH * 3 / 2));
-        }
-    }
-
-    #[test]
-    fn an_agent_on_the_own_machine_is_watched_at_once_in_any_fleet() {
-        for seed in 0..300 {
-            let mut pace = Pace::new(seed, 300, false);
-            assert_eq!(pace.first_call(), Duration::ZERO);
-            assert!((0..9).all(|_| pace.pause(false) <= AGENT_PAUSE_MOST * 3 / 2));
-        }
-    }
-
-    #[test]
-    fn a_name_gives_the_same_number_everywhere() {
-        // Published FNV-1a values: the number must not change from build to build, or nodes would differ.
-        assert_eq!(number(""), ServerId(0x811c_9dc5));
-        assert_eq!(number("a"), ServerId(0xe40c_292c));
-        assert_eq!(number("foobar"), ServerId(0xbf9c_f968));
-    }
+    ServerId(name.bytes().fold(0x811c_9dc5, step).into())
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use crate::control::Controller;
+use crate::interface::*;
 use bytes::Bytes;
-use mountbend::control::Controller;
-use mountbend::interface::*;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
--- a/src/net/reuse.rs
+++ b/src/net/reuse.rs
@@ -30,6 +30,12 @@
     limit: Cell<usize>,
 }
 
+impl Default for Reuse {
+    fn default() -> Self {
+        Reuse::new()
+    }
+}
+
 impl Reuse {
     /// Nothing is known yet: any age will do.
     pub fn new() -> Self {
@@ -89,36 +95,3 @@
     let steps = 2.0 * (idle.as_secs_f64() * 1e3).max(1.0).log2();
     (steps as usize).min(STEPS - 1)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn ages_that_break_are_passed_over_until_that_is_long_ago() {
-        let reuse = Reuse::new();
-        let (young, old) = (Duration::from_millis(20), Duration::from_millis(200));
-        for number in 0..60 {
-            // A part of all breaks, whatever the age.
-            reuse.ended(None, number % 20 == 0);
-            reuse.ended(Some(young), number % 20 == 0);
-        }
-        assert!(reuse.allows(young) && reuse.allows(old));
-        for number in 0..12 {
-            reuse.ended(Some(old), number % 3 == 0);
-        }
-        assert!(reuse.allows(young) && !reuse.allows(old) && !reuse.allows(old * 10));
-        (0..60).for_each(|_| reuse.fade());
-        assert!(reuse.allows(old));
-    }
-
-    #[test]
-    fn new_connections_that_break_as_often_are_no_better() {
-        let reuse = Reuse::new();
-        for number in 0..90 {
-            reuse.ended(None, number % 3 == 0);
-            reuse.ended(Some(Duration::from_millis(200)), number % 3 == 0);
-        }
-        assert!(reuse.allows(Duration::from_millis(200)));
-    }
-}
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::interface::{Micros, Outcome, ServerId};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue, HOST};
 use hyper::{Method, Request, StatusCode, Uri};
-use mountbend::interface::{Micros, Outcome, ServerId};
 use tokio::time::{timeout, timeout_at, Instant};
 
 use super::budget::{Budget, Slot};
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -15,7 +15,8 @@
 /// answers still being written. With the shortest deadlines both come right behind the listener's end.
 const FAIL_BEFORE_KILL: Duration = Duration::from_millis(400);
 const END_BEFORE_KILL: Duration = Duration::from_millis(200);
-const FLUSH_LEAST: Duration = Duration::from_millis(100);
+/// How long answers are still written at the least.
+pub const FLUSH_LEAST: Duration = Duration::from_millis(100);
 
 /// When what is done, as spans from SIGTERM.
 pub struct Timetable {
@@ -40,19 +41,3 @@
         Timetable { idle: IDLE, deaf, fail, end: (kill - END_BEFORE_KILL).max(fail + FLUSH_LEAST) }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn whatever_the_deadlines_each_step_has_its_time_and_all_is_over_before_the_kill() {
-        for ms in (0..5_000).step_by(10) {
-            let kill = Duration::from_millis(ms.min(3_000) + 700);
-            let t = Timetable::new(Duration::from_millis(ms));
-            assert!(t.idle > Duration::from_millis(400), "new connections come until then");
-            assert!(t.idle < t.deaf && t.deaf <= t.fail, "deadlines of {ms} ms");
-            assert!(t.fail + FLUSH_LEAST <= t.end && t.end + FLUSH_LEAST <= kill, "deadlines of {ms} ms");
-        }
-    }
-}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -89,7 +89,7 @@
         value: f64,
     },
     ProbeDone {
-        server: u32,
+        server: u64,
         state_code: Code,
     },
     Alarm {
@@ -121,7 +121,7 @@
 
 #[derive(Deserialize, Clone)]
 struct Entry {
-    server: u32,
+    server: u64,
     #[serde(default)]
     site: u32,
     #[serde(default)]
@@ -162,7 +162,7 @@
     finished: bool,
     final_units: Option<f64>,
     state_code: Code,
-    server: u32,
+    server: u64,
 }
 
 #[derive(Deserialize, Clone, Copy)]
@@ -345,11 +345,11 @@
 #[derive(Serialize)]
 #[serde(tag = "what")]
 enum Output {
-    PassOn { xid: String, server: u32, timeout: Micros },
+    PassOn { xid: String, server: u64, timeout: Micros },
     Bounce { xid: String, not_before_for: Micros },
     EndFailed { xid: String },
     Abandon { xid: String, seq_no: u32 },
-    Check { server: u32 },
+    Check { server: u64 },
     Add { book: u64, amount: f64, keep_for: Micros },
     After { handle: u64, from_now: Micros },
     Snapshot,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -113,7 +113,14 @@
 }
 
 pub fn member(server: u32, state: MemberState, started: Micros) -> Member {
-    Member { server: ServerId(server), cell: server % 2, state, started, weight: 1.0, ..Member::default() }
+    Member {
+        server: ServerId(server.into()),
+        cell: server % 2,
+        state,
+        started,
+        weight: 1.0,
+        ..Member::default()
+    }
 }
 
 pub fn call(actions: &[Action]) -> Option<(CountName, f64)> {
--- /dev/null
+++ b/tests/paces.rs
@@ -0,0 +1,55 @@
+//! The pace of calls to discovery, and the numbers of app servers.
+
+use std::time::Duration;
+
+use mountbend::interface::ServerId;
+use mountbend::net::discovery::*;
+
+/// Calls by second of a fleet whose calls all fail after 2 s, as they do at a service that is full.
+fn calls(nodes: u32) -> Vec<usize> {
+    let mut calls = vec![0; 60];
+    for seed in 0..u64::from(nodes) {
+        let mut pace = Pace::new(seed, nodes, true);
+        let mut at = pace.first_call();
+        while at < Duration::from_secs(60) {
+            calls[at.as_secs() as usize] += 1;
+            at += Duration::from_secs(2) + pace.pause(false);
+        }
+    }
+    calls
+}
+
+#[test]
+fn a_hundred_nodes_whose_calls_all_fail_do_not_crowd_discovery() {
+    let calls = calls(100);
+    assert!(calls.iter().all(|&n| n <= 40), "calls by second: {calls:?}");
+    assert!(calls.iter().sum::<usize>() <= 20 * 60, "calls by second: {calls:?}");
+    assert!(Pace::new(1, 3, true).pause(false) < Duration::from_millis(250), "few nodes need not wait");
+}
+
+#[test]
+fn however_many_the_nodes_a_list_is_asked_for_before_it_counts_as_told() {
+    for seed in 0..300 {
+        let mut pace = Pace::new(seed, 300, true);
+        assert!(pace.first_call() + FETCH_WAIT <= TOLD_AFTER);
+        assert!(pace.pause(true) + FIRST_WAIT <= Duration::from_secs(1), "after a move it has 4 s");
+        assert!((0..9).all(|_| pace.pause(false) <= TOLD_AFTER * SPREAD_GROWTH * 3 / 2));
+    }
+}
+
+#[test]
+fn an_agent_on_the_own_machine_is_watched_at_once_in_any_fleet() {
+    for seed in 0..300 {
+        let mut pace = Pace::new(seed, 300, false);
+        assert_eq!(pace.first_call(), Duration::ZERO);
+        assert!((0..9).all(|_| pace.pause(false) <= AGENT_PAUSE_MOST * 3 / 2));
+    }
+}
+
+#[test]
+fn a_name_gives_the_same_number_everywhere() {
+    // Published FNV-1a values: the number must not change from build to build, or nodes would differ.
+    assert_eq!(number(""), ServerId(0x811c_9dc5));
+    assert_eq!(number("a"), ServerId(0xe40c_292c));
+    assert_eq!(number("foobar"), ServerId(0xbf9c_f968));
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -301,7 +301,7 @@
 
 /// The servers that node `me` of a hundred sends to in 200 requests. If so said, servers 3 to 8 can't be
 /// connected to.
-fn used(me: u32, loses: bool) -> std::collections::BTreeSet<u32> {
+fn used(me: u32, loses: bool) -> std::collections::BTreeSet<u64> {
     let servers = (0..60).map(|i| member(i, MemberState::In, 0)).collect();
     let mut n = node(u64::from(me) + 9, Settings { me, nodes: 100, ..open() }, servers);
     let mut used = std::collections::BTreeSet::new();
@@ -326,7 +326,7 @@
     let (least, most) = (nodes_of.iter().min(), nodes_of.iter().max());
     assert!(least >= Some(&20) && most <= Some(&28), "nodes that use a server: {nodes_of:?}");
     let (healthy, with_loss) = (used(0, false), used(0, true));
-    let stand_in = |used: &std::collections::BTreeSet<u32>| used.iter().any(|&server| server >= 15);
+    let stand_in = |used: &std::collections::BTreeSet<u64>| used.iter().any(|&server| server >= 15);
     assert!(!stand_in(&healthy) && stand_in(&with_loss), "the next one stands in for one that is ejected");
 }
 
