--- a/crates/scale-rig/src/slopes.rs
+++ b/crates/scale-rig/src/slopes.rs
@@ -1,5 +1,7 @@
 //! A ladder of sizes, and how each figure grows along it.
 
+pub mod child;
+
 use clap::Args;
 use serde::Serialize;
 
