--- a/crates/scale-rig/src/node.rs
+++ b/crates/scale-rig/src/node.rs
@@ -1,6 +1,6 @@
 //! One real edge node process before stand-ins of all its peers.
 
-mod clients;
+pub mod clients;
 mod process;
 mod settings;
 
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use clap::{Args, Parser, ValueEnum};
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use serde::Serialize;
 use tempfile::NamedTempFile;
 use tokio::runtime::{Builder, Runtime};
@@ -35,6 +36,11 @@
 const CHANGES_BEFORE: u32 = 9;
 /// Requests of one run, for which some memory is kept each.
 const REQUESTS_MOST: f64 = 5e6;
+/// Descriptors for listeners, files and runtimes, and how many more requests than their mean may be open at once.
+const DESCRIPTORS_OF_ITS_OWN: u64 = 64;
+const DESCRIPTOR_SPARE: f64 = 1.25;
+/// Descriptors that no run takes more of.
+const DESCRIPTORS_MOST: u64 = 16_000;
 /// What a run may take beyond the times that its arguments name.
 const SPARE: Duration = Duration::from_secs(15);
 /// Threads that serve clients and app servers, and those that serve the agent and the counter. Danger: a whole list
@@ -260,6 +266,12 @@
         if self.rate * self.load_s > REQUESTS_MOST {
             return wrong(format!("--rate times --load-s is more than {REQUESTS_MOST} requests"));
         }
+        let needed = self.descriptors();
+        if needed > DESCRIPTORS_MOST {
+            return wrong(format!(
+                "--rate, --deadline-ms and --sockets may take {needed} descriptors; {DESCRIPTORS_MOST} are the most"
+            ));
+        }
         let spans =
             [("--agent-silent-s", self.agent_silent_s), ("--counter-silent-s", self.counter_silent_s)];
         let ends = spans.iter().filter_map(|(name, span)| span.map(|s| (*name, s.to_s)));
@@ -270,12 +282,34 @@
         Ok(())
     }
 
+    /// Descriptors that the rig needs: a client's connection for each request that may be open at once, and the app
+    /// servers' ends of the node's.
+    fn descriptors(&self) -> u64 {
+        let open = self.rate * (self.deadline_ms as f64 / 1e3 + clients::LATE_MOST.as_secs_f64());
+        (DESCRIPTOR_SPARE * open) as u64 + u64::from(self.sockets) + DESCRIPTORS_OF_ITS_OWN
+    }
+
     fn overall(&self) -> Duration {
         let named = self.ready_limit_s + self.settle_s + self.idle_s + self.load_s;
         seconds(named) + Duration::from_millis(self.deadline_ms) + clients::LATE_MOST + SPARE
     }
 }
 
+/// Lets this process hold so many descriptors, if the machine permits it.
+fn allow_descriptors(needed: u64) -> Result<(), RigError> {
+    let limit = getrlimit(Resource::Nofile);
+    if limit.current.is_none_or(|current| current >= needed) {
+        return Ok(());
+    }
+    if limit.maximum.is_some_and(|maximum| maximum < needed) {
+        let text =
+            format!("--rate and --deadline-ms may take {needed} descriptors, more than this machine permits");
+        return Err(RigError::Argument(text));
+    }
+    setrlimit(Resource::Nofile, Rlimit { current: Some(needed), ..limit })
+        .map_err(|e| RigError::System { what: "cannot raise the limit of descriptors", source: e.into() })
+}
+
 fn seconds(number: f64) -> Duration {
     Duration::from_secs_f64(number)
 }
@@ -288,6 +322,7 @@
 /// Makes the run. Its peers and the edge node's process end with it.
 pub fn measure(options: &Options) -> Result<Report, RigError> {
     options.check()?;
+    allow_descriptors(options.descriptors())?;
     let (data, control) = (runtime(DATA_THREADS)?, runtime(CONTROL_THREADS)?);
     let limit = options.overall();
     let result = data.block_on(async {
@@ -363,9 +398,8 @@
         body: options.answer_bytes,
         idle: seconds(options.conn_idle_s),
     };
-    let (servers, port) = AppServers::start(work, plan.size() as u32).map_err(|source| RigError::System {
-        what: "cannot listen for app servers on the loopback device alone",
-        source,
+    let (servers, port) = AppServers::start(work, plan.requests().len() as u32).map_err(|source| {
+        RigError::System { what: "cannot listen for app servers on the loopback device alone", source }
     })?;
     let mut list = ServerList::new(Shape {
         servers: options.servers,
--- a/crates/scale-rig/src/node/clients.rs
+++ b/crates/scale-rig/src/node/clients.rs
@@ -32,13 +32,18 @@
 const LATENCY_MOST: u64 = 120_000_000;
 
 /// A request to be sent.
-struct Planned {
-    number: u32,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Planned {
+    /// Its place among all, from 0; its id is made of it.
+    pub number: u32,
     /// When, from the load's start on.
-    due: Duration,
-    class: usize,
-    paid: bool,
-    customer: u64,
+    pub due: Duration,
+    /// Its place among the classes.
+    pub class: usize,
+    /// Whether its plan has a quota.
+    pub paid: bool,
+    /// The customer.
+    pub customer: u64,
 }
 
 /// The requests of a run: the same for the same seed.
@@ -76,9 +81,9 @@
         }
     }
 
-    /// How many requests there are.
-    pub fn size(&self) -> usize {
-        self.requests.len()
+    /// The requests, in the order in which they are due.
+    pub fn requests(&self) -> &[Planned] {
+        &self.requests
     }
 }
 
