End the edge node's process on every way out of a run, and wait for it

Told to end, the rig left its edge node behind for some moments, and a signal during the start could have left it for good: the process was killed by being dropped, which nobody waited for, and signals were heard of only once the run was on. They are now heard of before the process starts, and one place kills it and waits, whether the run is done, takes too long, is interrupted or the edge node ends by itself; the last line of its log is then read to the end before it is told.

The test interrupts a run whose program never ends; without the wait it finds the process still there.

--- a/crates/scale-rig/src/node.rs
+++ b/crates/scale-rig/src/node.rs
@@ -22,7 +22,7 @@
 use tokio::time::{interval_at, sleep, sleep_until, timeout, Instant};
 
 use self::clients::{load, Plan, Tally};
-use self::process::{EdgeNode, Usage};
+use self::process::{EdgeNode, Process, Usage};
 use self::settings::Config;
 use crate::error::RigError;
 use crate::report::{Output, Report};
@@ -324,15 +324,7 @@
     options.check()?;
     allow_descriptors(options.descriptors())?;
     let (data, control) = (runtime(DATA_THREADS)?, runtime(CONTROL_THREADS)?);
-    let limit = options.overall();
-    let result = data.block_on(async {
-        tokio::select! {
-            result = timeout(limit, play(options, &control)) => {
-                result.unwrap_or_else(|_| Err(RigError::EdgeNode(format!("the run has taken over {limit:?}"))))
-            }
-            error = interrupted() => Err(error),
-        }
-    });
+    let result = data.block_on(play(options, &control));
     data.shutdown_background();
     control.shutdown_background();
     result
@@ -343,19 +335,19 @@
     built.map_err(|source| RigError::System { what: "cannot start threads", source })
 }
 
-/// Danger: without this a signal would end the rig and leave the edge node's process behind.
-async fn interrupted() -> RigError {
-    let what = "cannot listen for signals";
-    match (signal(SignalKind::interrupt()), signal(SignalKind::terminate())) {
-        (Ok(mut interrupt), Ok(mut terminate)) => {
-            tokio::select! {
-                _ = interrupt.recv() => {}
-                _ = terminate.recv() => {}
-            }
-            RigError::EdgeNode("the run was interrupted".into())
+/// A future that comes back when the rig is told to end. Danger: without it a signal would end the rig at once and
+/// leave the edge node's process behind.
+fn interrupted() -> Result<impl Future<Output = RigError>, RigError> {
+    let listen =
+        |kind| signal(kind).map_err(|source| RigError::System { what: "cannot listen for signals", source });
+    let (mut interrupt, mut terminate) = (listen(SignalKind::interrupt())?, listen(SignalKind::terminate())?);
+    Ok(async move {
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
         }
-        (Err(source), _) | (_, Err(source)) => RigError::System { what, source },
-    }
+        RigError::EdgeNode("the run was interrupted".into())
+    })
 }
 
 /// The stand-ins of a run.
@@ -422,9 +414,11 @@
     let file = write(&config)?;
     drop(config);
     changes(options, control, &peers);
-    let limit = seconds(options.ready_limit_s);
-    let (edge, mut process) = EdgeNode::start(&options.program, file.path(), limit).await?;
+    let (limit, overall) = (seconds(options.ready_limit_s), options.overall());
+    let interrupted = interrupted()?;
+    let (mut process, starting) = Process::start(&options.program, file.path())?;
     let figures = async {
+        let edge = starting.listens(limit).await?;
         let mut report = report(options);
         report.add("ready_s", edge.ready(limit).await?.as_secs_f64(), "s");
         report.add("list_bytes", list_bytes.len() as f64, "bytes");
@@ -433,9 +427,13 @@
         Ok(report)
     };
     let result = tokio::select! {
-        result = figures => result,
+        result = timeout(overall, figures) => result.unwrap_or_else(|_| {
+            Err(RigError::EdgeNode(format!("the run has taken over {overall:?}")))
+        }),
         error = process.ended() => Err(error),
+        error = interrupted => Err(error),
     };
+    // On every way out, and waited for.
     process.kill().await;
     result
 }
--- a/crates/scale-rig/src/node/process.rs
+++ b/crates/scale-rig/src/node/process.rs
@@ -13,8 +13,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::{Child, ChildStderr, Command};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::error::RigError;
@@ -25,6 +26,8 @@
 const LOOK: Duration = Duration::from_millis(2);
 /// How long one such look may take. Danger: an edge node may take the connection and be ready only later.
 const LOOK_MOST: Duration = Duration::from_millis(500);
+/// How long the log of a process that has ended is still read.
+const LAST_WORDS: Duration = Duration::from_secs(1);
 /// What is kept of a log line.
 const LINE_MOST: usize = 200;
 
@@ -38,6 +41,7 @@
 pub struct Process {
     child: Child,
     log: Arc<Mutex<Log>>,
+    reader: Option<JoinHandle<()>>,
 }
 
 /// An edge node as seen from outside.
@@ -50,9 +54,9 @@
     pub started: Instant,
 }
 
-impl EdgeNode {
-    /// Starts the program with the configuration in this file, and waits until it says where it listens.
-    pub async fn start(program: &Path, config: &Path, limit: Duration) -> Result<(Self, Process), RigError> {
+impl Process {
+    /// Starts the program with the configuration in this file.
+    pub fn start(program: &Path, config: &Path) -> Result<(Process, Starting), RigError> {
         let started = Instant::now();
         let mut child = Command::new(program)
             .env("PROXY_CONFIG", config)
@@ -62,34 +66,75 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(|source| RigError::File { path: program.display().to_string(), source })?;
-        let (pid, stderr) = (child.id(), child.stderr.take());
-        let (Some(pid), Some(stderr)) = (pid, stderr) else {
-            return Err(RigError::EdgeNode("ended at once".into()));
+        let (Some(pid), Some(stderr)) = (child.id(), child.stderr.take()) else {
+            return Err(RigError::EdgeNode("has no log".into()));
         };
         let log = Arc::new(Mutex::new(Log::default()));
         let (tell, told) = oneshot::channel();
-        let kept = log.clone();
-        tokio::spawn(async move {
-            let (mut lines, mut tell) = (BufReader::new(stderr).lines(), Some(tell));
-            // Danger: a pipe that nobody reads holds up who writes to it.
-            while let Ok(Some(line)) = lines.next_line().await {
-                let address = line.split_once(LISTENING).and_then(|(_, at)| at.trim().parse().ok());
-                if let Some((tell, at)) = tell.take_if(|_| address.is_some()).zip(address) {
-                    let _ = tell.send(at);
-                }
-                let mut log = kept.lock().unwrap_or_else(PoisonError::into_inner);
-                (log.lines, log.last) = (log.lines + 1, line.chars().take(LINE_MOST).collect());
+        let reader = tokio::spawn(read_log(stderr, log.clone(), tell));
+        let starting = Starting { told, pid, log: log.clone(), started };
+        Ok((Process { child, log, reader: Some(reader) }, starting))
+    }
+
+    /// Comes back when the process has ended by itself, with why that is no good.
+    pub async fn ended(&mut self) -> RigError {
+        let status = self.child.wait().await;
+        if let Some(reader) = self.reader.take() {
+            // Its last words may lie unread. What it has started in its turn may keep the pipe open.
+            let _ = timeout(LAST_WORDS, reader).await;
+        }
+        match status {
+            Ok(status) => RigError::EdgeNode(format!("has ended by itself, {status}: {}", last(&self.log))),
+            Err(source) => RigError::System { what: "cannot wait for the edge node", source },
+        }
+    }
+
+    /// Ends it.
+    pub async fn kill(mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill().await;
+    }
+}
+
+/// Danger: a pipe that nobody reads holds up who writes to it.
+async fn read_log(stderr: ChildStderr, log: Arc<Mutex<Log>>, tell: oneshot::Sender<SocketAddr>) {
+    let (mut lines, mut tell) = (BufReader::new(stderr).lines(), Some(tell));
+    while let Ok(Some(line)) = lines.next_line().await {
+        let address = line.split_once(LISTENING).and_then(|(_, at)| at.trim().parse().ok());
+        if let Some((tell, at)) = tell.take_if(|_| address.is_some()).zip(address) {
+            let _ = tell.send(at);
+        }
+        let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+        (log.lines, log.last) = (log.lines + 1, line.chars().take(LINE_MOST).collect());
+    }
+}
+
+/// An edge node that has not said yet where it listens.
+pub struct Starting {
+    told: oneshot::Receiver<SocketAddr>,
+    pid: u32,
+    log: Arc<Mutex<Log>>,
+    started: Instant,
+}
+
+impl Starting {
+    /// Waits until it says where it listens. If it ends instead, that is told by its process.
+    pub async fn listens(self, limit: Duration) -> Result<EdgeNode, RigError> {
+        let Starting { told, pid, log, started } = self;
+        let heard = async {
+            match told.await {
+                Ok(address) => address,
+                Err(_) => std::future::pending().await,
             }
-        });
-        let address = match timeout(limit, told).await {
-            Ok(Ok(address)) => address,
-            Ok(Err(_)) => return Err(RigError::EdgeNode(format!("has ended: {}", last(&log)))),
-            Err(_) => return Err(RigError::EdgeNode(format!("does not listen after {limit:?}"))),
         };
-        let process = Process { child, log: log.clone() };
-        Ok((EdgeNode { pid, log, address, started }, process))
+        match timeout(limit, heard).await {
+            Ok(address) => Ok(EdgeNode { pid, log, address, started }),
+            Err(_) => Err(RigError::EdgeNode(format!("does not listen after {limit:?}"))),
+        }
     }
+}
 
+impl EdgeNode {
     /// Waits until `GET /up` is answered with 200; how long that took from the start on.
     pub async fn ready(&self, limit: Duration) -> Result<Duration, RigError> {
         loop {
@@ -125,22 +170,6 @@
     }
 }
 
-impl Process {
-    /// Comes back when the process has ended by itself, with why that is no good.
-    pub async fn ended(&mut self) -> RigError {
-        match self.child.wait().await {
-            Ok(status) => RigError::EdgeNode(format!("has ended by itself, {status}: {}", last(&self.log))),
-            Err(source) => RigError::System { what: "cannot wait for the edge node", source },
-        }
-    }
-
-    /// Ends it.
-    pub async fn kill(mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill().await;
-    }
-}
-
 fn last(log: &Mutex<Log>) -> String {
     log.lock().unwrap_or_else(PoisonError::into_inner).last.clone()
 }
--- a/crates/scale-rig/tests/node.rs
+++ b/crates/scale-rig/tests/node.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::process::{Command, Output};
-use std::time::Duration;
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 use scale_rig::node::clients::Plan;
 use scale_rig::node::Options;
@@ -302,6 +302,8 @@
         (&["--program", "/nowhere/at/all"], "/nowhere/at/all"),
         // It ends at once.
         (&["--program", "/bin/true"], "has ended"),
+        // It never ends, and says nothing.
+        (&["--program", "/usr/bin/yes", "--ready-limit-s", "0.2"], "does not listen"),
     ] {
         let out = rig(arguments);
         let said = String::from_utf8(out.stderr).expect("text");
@@ -324,6 +326,43 @@
     }
 }
 
+/// The processes that this one has started.
+fn children(of: u32) -> Vec<u32> {
+    let processes = std::fs::read_dir("/proc").expect("processes").flatten();
+    let numbers = processes.filter_map(|entry| entry.file_name().to_str()?.parse().ok());
+    let parent = |pid: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        stat.rsplit(')').next()?.split_whitespace().nth(1)?.parse::<u32>().ok()
+    };
+    numbers.filter(|pid| parent(pid) == Some(of)).collect()
+}
+
+#[test]
+fn a_run_that_is_interrupted_leaves_no_process_behind() {
+    let mut rig = Command::new(env!("CARGO_BIN_EXE_scale-rig"));
+    let rig = rig.args(["node", "--program", "/usr/bin/yes"]).stdout(Stdio::null()).stderr(Stdio::piped());
+    let rig = rig.spawn().expect("the rig starts");
+    let begun = Instant::now();
+    let node = loop {
+        // Between fork and exec it has the rig's own name.
+        let mut all = children(rig.id()).into_iter();
+        let named =
+            |pid: &u32| std::fs::read_to_string(format!("/proc/{pid}/comm")).is_ok_and(|c| c == "yes\n");
+        if let Some(pid) = all.find(named) {
+            break pid;
+        }
+        assert!(begun.elapsed() < PATIENCE, "no process is started");
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    let term = Command::new("sh").args(["-c", &format!("kill -TERM {}", rig.id())]).status();
+    assert!(term.expect("a shell").success());
+    let out = rig.wait_with_output().expect("an end");
+    let said = String::from_utf8(out.stderr).expect("text");
+    assert!(out.status.code() == Some(1) && said.lines().count() == 1, "{:?}: {said}", out.status);
+    assert!(said.contains("interrupted"), "{said}");
+    assert!(!std::path::Path::new(&format!("/proc/{node}")).exists(), "{node} is left");
+}
+
 /// The edge node's program of this build. Cargo builds another package's programs for no test, so it is asked to.
 fn program() -> String {
     let cargo = ["build", "--locked", "--workspace", "--bin", "pinerelay", "--message-format", "json"];
