Tell the latency added also from when a request was sent, beside from when it was due

On a machine shared with builds the rig's own clients were late by 0.4 to 5 ms at p99, and the latency from the due time holds that. The same from the moment of sending is now told beside it. As each request is a task of its own that waits for no other's answer, it is free of coordinated omission, too; it leaves out only what the rig itself was late by.

--- a/crates/scale-rig/src/node.rs
+++ b/crates/scale-rig/src/node.rs
@@ -610,6 +610,10 @@
             report.add(&format!("added_{name}_ms"), milliseconds(value), "ms");
         }
         report.add("added_max_ms", milliseconds(tally.added.max()), "ms");
+        for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+            let value = tally.added_from_sent.value_at_quantile(quantile);
+            report.add(&format!("added_from_sent_{name}_ms"), milliseconds(value), "ms");
+        }
     }
 }
 
@@ -619,6 +623,8 @@
     let notes = [
         "latency added: from when a request was due to its answer, less its app server's own time; of all that \
          were served, however late, and of the lost, which count with the time they were waited for",
+        "added_from_sent: the same without what the clients were late by (rig_late), which on a busy machine is the \
+         rig's own; no client waits for another's answer, so it is free of coordinated omission, too",
         "lost: no answer by a second after the deadline; late: an answer between the deadline and then",
         "cpu_wait_loaded_percent: the node could have run and had no processor; where it or rig_late_p99_ms is not \
          small, the machine was too busy for latencies to say anything",
--- a/crates/scale-rig/src/node/clients.rs
+++ b/crates/scale-rig/src/node/clients.rs
@@ -153,6 +153,8 @@
     pub connections: u64,
     /// Latency added, in microseconds: of requests served, however late, and of those lost.
     pub added: Histogram<u64>,
+    /// The same from when they were sent: what the clients themselves were late by is left out.
+    pub added_from_sent: Histogram<u64>,
     /// How late the clients sent, in microseconds.
     pub sent_late: Histogram<u64>,
     /// Attempts at app servers for these requests.
@@ -182,6 +184,7 @@
             again: 0,
             connections: 0,
             added: histogram()?,
+            added_from_sent: histogram()?,
             sent_late: histogram()?,
             attempts: 0,
         })
@@ -206,7 +209,9 @@
         if matches!(done.end, End::Status(200) | End::Late | End::Lost) {
             // What was never answered has waited that long at least; an app server's time for it is not known.
             let own = if done.end == End::Lost { Duration::ZERO } else { servers.own_time(done.number) };
-            self.added.saturating_record(micros(done.total.saturating_sub(own)));
+            let added = done.total.saturating_sub(own);
+            self.added.saturating_record(micros(added));
+            self.added_from_sent.saturating_record(micros(added.saturating_sub(done.late)));
         }
     }
 }
--- a/crates/scale-rig/tests/node.rs
+++ b/crates/scale-rig/tests/node.rs
@@ -420,5 +420,6 @@
         assert!(get(name) > 0.0, "{name}");
     }
     assert!(get("peak_mb") >= get("rss_mb") && get("added_max_ms") >= get("added_p50_ms"));
+    assert!(get("added_from_sent_p99_ms") <= get("added_p99_ms"), "{report:?}");
     assert!(get("list_bytes") > 12.0 * 100.0, "{report:?}");
 }
