Take a thread's wait for a processor off the times of the decision module

Cause: on a machine shared with other work the thread is stopped for milliseconds inside an event that takes microseconds.

Change: what the kernel tells as the thread's wait during an event is taken off that event's time. Where the kernel does not tell it, nothing is taken off, and a note in the report says so.

--- a/crates/scale-rig/src/decisions.rs
+++ b/crates/scale-rig/src/decisions.rs
@@ -4,6 +4,8 @@
 //! share: `Controller::new` and `handle`, and the types of `interface`.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fs::File;
+use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -218,11 +220,30 @@
     Probed(ServerId),
 }
 
+/// How long this thread has waited for a processor that others had.
+struct Queued(Option<File>);
+
+impl Queued {
+    /// Danger: a machine that runs other work stops a thread for milliseconds, many times what an event takes,
+    /// and the means would tell of the machine alone. Where the kernel does not tell this, nothing is taken off.
+    fn new() -> Self {
+        Queued(File::open("/proc/thread-self/schedstat").ok())
+    }
+
+    fn get(&self) -> Option<Duration> {
+        let mut text = [0; 96];
+        let read = self.0.as_ref()?.read_at(&mut text, 0).ok()?;
+        let text = std::str::from_utf8(&text[..read]).ok()?;
+        text.split_whitespace().nth(1)?.parse().ok().map(Duration::from_nanos)
+    }
+}
+
 /// The node and all that it meets.
 struct Model<'a> {
     options: &'a Options,
     node: Controller,
     random: StdRng,
+    queued: Queued,
     now: Micros,
     ends: Instant,
     /// What is to come, by time and then in the order in which it was planned.
@@ -252,6 +273,7 @@
             options,
             node: Controller::new(options.seed, options.settings(me)),
             random,
+            queued: Queued::new(),
             now: START,
             ends: Instant::now() + Duration::from_secs_f64(options.limit_s),
             queue: BTreeMap::new(),
@@ -314,9 +336,17 @@
     /// Hands the node an event, takes the time of it and does what the node asks for.
     fn handle(&mut self, kind: Option<Kind>, event: Event) {
         let mut actions = Vec::new();
+        let before = self.queued.get();
         let begun = Instant::now();
         self.node.handle(self.now, event, &mut actions);
         let spent = begun.elapsed();
+        let queued = self
+            .queued
+            .get()
+            .zip(before)
+            .map_or(Duration::ZERO, |(after, before)| after.saturating_sub(before));
+        // A wait as long as all of it came between the clocks' readings, and is not in it.
+        let spent = if queued < spent { spent - queued } else { spent };
         if let Some(kind) = kind.filter(|_| self.timed) {
             self.spent.entry(kind).or_default().push(spent);
             let sends = actions.iter().filter(|a| matches!(a, Action::Send { .. })).count() as u32;
@@ -568,6 +598,11 @@
     report.add("resident_loaded", loaded - listed, "bytes");
     report.add("resident_model", listed - before, "bytes");
     report.notes.push("times are of `Controller::handle` alone, `core` of it at --rate".into());
+    let off = match model.queued.get() {
+        Some(_) => "what the thread waited for a processor is taken off the times",
+        None => "the kernel does not tell what the thread waited for a processor: means and `core` hold it",
+    };
+    report.notes.push(off.into());
     report.notes.push("`decision` is a request, or a counter's answer to it, that sent an attempt".into());
     report
         .notes
