--- a/crates/scale-rig/src/fleet.rs
+++ b/crates/scale-rig/src/fleet.rs
@@ -32,6 +32,19 @@
 /// Arguments of `fleet`.
 #[derive(Args, Debug, Clone, Serialize)]
 pub struct Options {
+    /// What is run.
+    #[command(flatten)]
+    #[serde(flatten)]
+    pub scenario: Box<Scenario>,
+    /// Where the figures go.
+    #[command(flatten)]
+    #[serde(skip)]
+    pub output: Output,
+}
+
+/// What is run: the fleet, its customers, its servers, its network, and what fails.
+#[derive(Args, Debug, Clone, Serialize)]
+pub struct Scenario {
     /// Hollow nodes
     #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u32).range(1..=20_000))]
     pub nodes: u32,
@@ -85,9 +98,12 @@
     /// Requests that wait at a server beyond these; more are turned away
     #[arg(long, default_value_t = 32, value_name = "REQUESTS", value_parser = clap::value_parser!(u32).range(0..=100_000))]
     pub queue: u32,
-    /// Mean work of a request (ms of one core), exponentially distributed
+    /// Mean work of a request (ms of one core)
     #[arg(long, default_value_t = 60.0, value_name = "MS", value_parser = positive)]
     pub work_ms: f64,
+    /// Share of the work that is drawn, exponentially; the rest is the same for each request
+    #[arg(long, default_value_t = 1.0, value_name = "SHARE", value_parser = share)]
+    pub work_spread: f64,
     /// What a new connection costs its server (us of one core)
     #[arg(long, default_value_t = 2_000, value_name = "US", value_parser = clap::value_parser!(u64).range(0..=1_000_000))]
     pub handshake_us: u64,
@@ -154,7 +170,7 @@
     /// Share of the list that is wrong when a node starts again: servers that are gone, and as many left out
     #[arg(long, default_value_t = 0.05, value_name = "SHARE", value_parser = share)]
     pub old_list_share: f64,
-    /// How long a node takes to start again (ms)
+    /// How long a node takes to start again (ms): drawn from half of it to half as much again
     #[arg(long, default_value_t = 1_000, value_name = "MS", value_parser = clap::value_parser!(u64).range(1..=600_000))]
     pub boot_ms: u64,
     /// Share of the servers in the rack that fails
@@ -182,13 +198,9 @@
     /// Leave out what the machine took (memory, wall time): the JSON is the same each time then
     #[arg(long)]
     pub simulated_only: bool,
-    /// Where the figures go.
-    #[command(flatten)]
-    #[serde(skip)]
-    pub output: Output,
 }
 
-impl Options {
+impl Scenario {
     /// First tries a second over all nodes.
     fn total_rate(&self) -> f64 {
         self.rate.unwrap_or(130.0 * f64::from(self.nodes))
@@ -246,11 +258,11 @@
 
 /// Makes the run and tells its figures.
 pub fn run(options: Options) -> Result<(), RigError> {
-    measure(&options)?.tell(&options.output)
+    measure(&options.scenario)?.tell(&options.output)
 }
 
 /// Makes the run and gives its figures.
-pub fn measure(options: &Options) -> Result<Report, RigError> {
+pub fn measure(options: &Scenario) -> Result<Report, RigError> {
     options.check()?;
     let arguments = serde_json::to_value(options)
         .map_err(|e| RigError::System { what: "cannot write the arguments", source: e.into() })?;
@@ -280,7 +292,7 @@
     Ok(report)
 }
 
-fn notes(options: &Options, report: &mut Report) {
+fn notes(options: &Scenario, report: &mut Report) {
     let percent = |part: f64, of: f64| part / of * 100.0;
     let (nodes, servers, rate) = (f64::from(options.nodes), f64::from(options.servers), options.total_rate());
     let (whole_nodes, whole_servers) = (f64::from(options.whole_nodes), f64::from(options.whole_servers));
@@ -308,6 +320,12 @@
     if options.counter_calls_per_s.is_none() {
         report.notes.push("the counter was given ample capacity, two calls for each request".into());
     }
+    report.notes.push(
+        "service: for each customer the units served inside its quota, up to those asked inside it, over all \
+         customers; the exact bucket that no node sees tells what is inside; service_before, service_least: the \
+         share of the requests that were inside the quota when first asked and that were served in the end"
+            .into(),
+    );
     report.notes.push(
         "the counter is equally far from all nodes (--counter-delay-us), though regions are --delay-far-us apart; \
          clients reach their node without delay; the subset knows nothing of zones and regions"
--- a/crates/scale-rig/src/fleet/faults.rs
+++ b/crates/scale-rig/src/fleet/faults.rs
@@ -76,6 +76,9 @@
 
     /// Carries out a step.
     pub(super) fn fault(&mut self, step: Step) {
+        if matches!(step, Step::Begin) {
+            self.forget_met();
+        }
         match (self.options.fail, step) {
             (Fail::RestartTenth, Step::Begin) => {
                 let mut order: Vec<usize> = (0..self.nodes.len()).collect();
@@ -83,8 +86,7 @@
                 order.truncate(self.nodes.len().div_ceil(10));
                 for node in order {
                     self.node_down(node, false);
-                    self.queue
-                        .at(self.queue.now() + self.options.boot_ms * 1_000, Happening::NodeUp(node as u32));
+                    self.boot(node);
                 }
             }
             (Fail::Rack, Step::Begin) => {
@@ -107,8 +109,7 @@
                     self.come_back(server);
                 }
                 for node in std::mem::take(&mut self.broken_nodes) {
-                    self.queue
-                        .at(self.queue.now() + self.options.boot_ms * 1_000, Happening::NodeUp(node as u32));
+                    self.boot(node);
                 }
             }
             (Fail::RegionCut, Step::Begin) => {
@@ -134,6 +135,13 @@
         }
     }
 
+    /// A node's process comes back after about the time that the options say.
+    fn boot(&mut self, node: usize) {
+        let mean = self.options.boot_ms * 1_000;
+        let after = self.random.random_range(mean / 2..=mean + mean / 2);
+        self.queue.at(self.queue.now() + after, Happening::NodeUp(node as u32));
+    }
+
     /// The servers of one step of a release.
     fn group(&self, step: u32) -> Vec<usize> {
         let (count, steps) = (self.released.len(), self.options.release_steps as usize);
--- a/crates/scale-rig/src/fleet/figures.rs
+++ b/crates/scale-rig/src/fleet/figures.rs
@@ -5,7 +5,7 @@
 
 use super::faults::Fail;
 use super::world::{Final, World};
-use super::Options;
+use super::Scenario;
 use crate::report::Report;
 
 /// Service is looked at in steps of this, by when requests were first asked.
@@ -48,7 +48,7 @@
 
 impl Figures {
     /// Nothing counted yet.
-    pub fn new(options: &Options) -> Self {
+    pub fn new(options: &Scenario) -> Self {
         let from = 1_000_000_000 + options.warm_ms * 1_000;
         let until = from + options.measured_ms * 1_000;
         let steps = (until - from).div_ceil(STEP) as usize;
@@ -273,6 +273,11 @@
         report.add(&format!("{name}_least"), least, unit);
         report.add(&format!("{name}_most"), most, unit);
     }
+    if world.options.fail != Fail::Calm {
+        let from = "nodes_per_server and servers_per_node are counted from the failure's begin on (of a release: from \
+                    the end of the warm-up on)";
+        report.notes.push(from.into());
+    }
     report.add("cold_started", world.cold_started as f64, "servers");
     report.add("cold_fell", world.figures.fell, "servers");
     report.add("cold_fell_told", world.figures.fell_told, "servers");
--- a/crates/scale-rig/src/fleet/world.rs
+++ b/crates/scale-rig/src/fleet/world.rs
@@ -16,10 +16,12 @@
 use super::faults::Step;
 use super::figures::Figures;
 use super::server::{Job, Machine, Server, State, Taken};
-use super::Options;
+use super::Scenario;
 
 /// The simulated clock begins here: not near zero, which some fields take for "long ago".
 const START: Micros = 1_000_000_000;
+/// The nodes' first processes start within this.
+const STARTING: Micros = 1_000_000;
 /// As the real node: attempts are given up, and what is unanswered has failed, so long before the client's end.
 const STOP_BEFORE: Micros = 25_000;
 const FAIL_BEFORE: Micros = 15_000;
@@ -143,7 +145,7 @@
 
 /// Everything of one run.
 pub struct World {
-    pub(super) options: Options,
+    pub(super) options: Scenario,
     pub(super) queue: super::queue::Queue<Happening>,
     pub(super) random: StdRng,
     pub(super) nodes: Vec<Node>,
@@ -174,7 +176,7 @@
 
 impl World {
     /// Servers, customers, counter and nodes, all well and warm; the nodes have the list and nothing else.
-    pub fn new(options: &Options) -> Self {
+    pub fn new(options: &Scenario) -> Self {
         let mut random = StdRng::seed_from_u64(options.seed);
         let (classes, shares) = customers::classes();
         let rate = options.total_rate();
@@ -284,13 +286,14 @@
                 heard: [0; LINES as usize],
                 met: HashSet::new(),
             });
-            // Processes that started long ago do not tick in step.
-            let at = START + self.random.random_range(0..20_000);
+            // Danger: what nodes do every half second would come in step, which it does not where processes
+            // started at any time.
+            let at = START + self.random.random_range(0..STARTING);
             self.queue.at(at, Happening::Whole { node: number, life: 0 });
         }
         for customer in 0..self.customers.len() {
             let gap = customers::gap(&mut self.random, self.customers[customer].rate);
-            self.queue.at(START + 20_000 + gap, Happening::Ask(customer as u32));
+            self.queue.at(START + STARTING + gap, Happening::Ask(customer as u32));
         }
         self.queue.at(self.warm_at(), Happening::Warm);
         self.plan_failure();
@@ -330,6 +333,12 @@
         self.nodes.iter().map(|n| n.met.len() as f64).collect()
     }
 
+    /// Who met whom is counted anew from here on.
+    pub(super) fn forget_met(&mut self) {
+        self.nodes.iter_mut().for_each(|n| n.met.clear());
+        self.met_by.fill(0);
+    }
+
     /// Connections that stand idle, over all nodes.
     pub(super) fn idle_connections(&self) -> usize {
         let since = self.queue.now().saturating_sub(self.options.idle_close_ms * 1_000);
@@ -752,7 +761,8 @@
     }
 
     fn work(&mut self) -> f64 {
-        self.machine.mean_work * customers::exponential(&mut self.random)
+        let (drawn, spread) = (customers::exponential(&mut self.random), self.options.work_spread);
+        self.machine.mean_work * (1.0 - spread + spread * drawn)
     }
 
     /// An attempt is over at its node; a second end of the same one is dropped.
