Take in a list of 46,000 app servers beside the requests, and number names in 64 bits

At 46,000 entries one process took 14 s of a core for its first list: each list was compared entry by entry with all that was known, each entry's address with all others, and the answers to this were held against the agent, whose list was given up after half a second. Two names of one 32-bit hash shut one app server out for good. Lists over 8 MiB, such as an indented one, were refused.

Now a list is read entry by entry without building values, and what it makes of the known app servers is worked out beside them (src/net/endpoints.rs), on a thread of its own if the text is over 64 KiB. It takes their place in one step, and only if neither a move nor another list has come meanwhile. A call is waited for while its answer goes on coming, up to 2.5 s past the time after which a silent agent is given up, which stays. Numbers of names have today's FNV-1a in the high half, so the order of all stays as it is, and one-at-a-time in the low half; should both be equal, the next is taken.

The test of published FNV-1a values now asks the same of the high half, and published values of the low.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,34 +1,45 @@
-//! Discovery: the list of app servers as last known, a watch that never ends, and single fetches.
+//! Discovery: a watch that never ends, single fetches, and how a list of any length is taken in.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use crate::interface::{Event, ListKind, Member, MemberState, ServerId};
+use crate::interface::{Event, ListKind, Member};
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, HOST};
-use hyper::{Request, StatusCode, Uri};
-use serde::Deserialize;
+use hyper::{Request, Response, StatusCode, Uri};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::backoff::Backoff;
-use super::http::{whole, Connection};
+use super::endpoints::{Endpoints, Places, Renewed};
+use super::http::Connection;
+use super::list::{Faults, List};
 use super::node::Node;
 
 /// How long a watch may wait, and how much later its answer counts as lost. Danger: a change counts as told
 /// 6 s after it at the latest, arrived or not, so a watch on a dead connection is given up sooner.
 const WAIT_MS: u64 = 4_000;
 const GRACE: Duration = Duration::from_millis(1_000);
-/// How long a fetch of the whole list may take.
+/// How long a fetch of the whole list may stay silent.
 pub const FETCH_WAIT: Duration = Duration::from_secs(2);
-/// How long the first list of a new agent may take: what it knows counts as told 4 s after the move.
+/// How long a new agent may stay silent: what it knows counts as told 4 s after the move.
 pub const FIRST_WAIT: Duration = Duration::from_millis(500);
+/// An answer that has begun to come may go on past these times while no pause in it is longer than this. Danger: a
+/// long list on a busy core takes its time, and a call that is given up and made again takes it twice.
+pub const STALL: Duration = Duration::from_millis(250);
+/// By how much an answer may pass them at the most. After a move it has come by then before it counts as told.
+pub const LIST_WAIT: Duration = Duration::from_millis(2_500);
+/// Danger: where the thread was busy for longer than a wait, the wait is over before what has arrived is read.
+const LAST_LOOK: Duration = Duration::from_millis(10);
 /// Pause of a watch that does not wait.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Calls to an agent on this machine that failed are made again after these pauses: it answers at no cost, and
@@ -50,49 +61,13 @@
 const FIRST_CALL_MOST: Duration = TOLD_AFTER.saturating_sub(FETCH_WAIT);
 /// After a move the list counts as told sooner, 4 s after SIGHUP: no longer pause until it has come.
 const MOVED_PAUSE_MOST: Duration = Duration::from_millis(500);
-/// No list is this long.
-const LIST_MOST: usize = 8 * 1024 * 1024;
-
-/// A list of app servers, or what has changed in it.
-#[derive(Deserialize, Default)]
-pub struct List {
-    index: u64,
-    #[serde(default)]
-    snapshot: bool,
-    /// Read one by one: one that is malformed must not hide the others.
-    endpoints: Option<Vec<serde_json::Value>>,
-}
-
-impl List {
-    fn is_empty(&self) -> bool {
-        self.endpoints.as_ref().is_none_or(Vec::is_empty)
-    }
-
-    /// Whether it is a list at all. Danger: a whole one without entries, or with none that can be read, would take
-    /// every app server out. Of changes one that can't be read is passed over.
-    fn readable(&self) -> bool {
-        let readable = |value: &serde_json::Value| Endpoint::deserialize(value).is_ok();
-        let whole = |all: &Vec<_>| !self.snapshot || all.is_empty() || all.iter().any(readable);
-        self.endpoints.as_ref().is_some_and(whole)
-    }
-}
-
-#[derive(Deserialize)]
-struct Endpoint {
-    name: String,
-    #[serde(default)]
-    address: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default, rename = "type")]
-    kind: String,
-    #[serde(default)]
-    group: u32,
-    status: String,
-    weight: Option<f64>,
-    #[serde(default)]
-    since_ms: u64,
-}
+/// No list is this long: twice that of 46,000 app servers with long names, indented.
+pub const LIST_MOST: usize = 32 * 1024 * 1024;
+/// Texts up to this long are taken in on the spot. Danger: requests wait meanwhile, and a list of 46,000 app
+/// servers takes tens of milliseconds; longer ones are made ready on a thread of their own.
+const DIRECT_MOST: usize = 64 * 1024;
+/// So many app servers are forgotten on the spot.
+const DIRECT_ENTRIES: usize = 500;
 
 /// Why a call to discovery failed.
 enum Failure {
@@ -101,6 +76,7 @@
     Status(StatusCode),
     Malformed(serde_json::Error),
     Unreadable,
+    TooLong,
 }
 
 impl fmt::Display for Failure {
@@ -110,23 +86,30 @@
             Failure::Broken => f.write_str("the connection failed"),
             Failure::Status(status) => write!(f, "answer {status}"),
             Failure::Malformed(error) => write!(f, "malformed list: {error}"),
+            Failure::TooLong => write!(f, "a list of more than {LIST_MOST} bytes"),
             Failure::Unreadable => f.write_str("malformed list: no entry can be read"),
         }
     }
 }
 
+/// A list as it has come, and whether it is so long that it is made ready on a thread of its own.
+struct Told {
+    list: List,
+    long: bool,
+}
+
 /// Discovery as this node sees it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    names: RefCell<BTreeMap<ServerId, String>>,
+    places: Arc<Places>,
     /// The newest version taken in. Versions are an agent's own; none is known of a new one.
     index: Cell<Option<u64>>,
     watcher: RefCell<Option<AbortHandle>>,
     pace: RefCell<Pace>,
     /// How often discovery has moved: what was asked before a move says nothing after it.
     moves: Cell<u64>,
+    /// How many lists have been taken in.
+    taken: Cell<u64>,
     /// Whether discovery has told anything since the start.
     heard: watch::Sender<bool>,
 }
@@ -138,12 +121,11 @@
         Rc::new(Discovery {
             pace: RefCell::new(pace),
             address: Cell::new(address),
-            zones,
-            kinds,
-            names: RefCell::default(),
+            places: Arc::new(Places::new(zones, kinds)),
             index: Cell::default(),
             watcher: RefCell::default(),
             moves: Cell::default(),
+            taken: Cell::default(),
             heard: watch::channel(false).0,
         })
     }
@@ -152,7 +134,8 @@
     /// go by, the first call is staggered.
     pub fn start(self: &Rc<Self>, node: &Rc<Node>, known: List) {
         let stagger = if known.is_empty() { Duration::ZERO } else { self.pace.borrow_mut().first_call() };
-        self.take(node, known, ListKind::Stale);
+        // On the spot, however long: nobody waits yet.
+        self.take(node, &known, ListKind::Stale);
         self.spawn(node, stagger);
     }
 
@@ -188,23 +171,15 @@
                 None => ("/discovery/hosts".into(), FIRST_WAIT),
             };
             let begun = Instant::now();
-            match self.get(&mut connection, &path, wait).await {
-                Ok(list) => {
+            let heeded = match self.get(&mut connection, &path, wait).await {
+                Ok(told) => self.heed(node, told).await,
+                Err(failure) => Err(failure),
+            };
+            match heeded {
+                Ok(news) => {
                     failing = false;
                     self.pace.borrow_mut().reset();
-                    let nothing = list.is_empty() && !list.snapshot && self.index.get().is_some();
-                    let whole = list.snapshot || self.index.get().is_none();
-                    let kind = if whole { ListKind::Whole } else { ListKind::Changes };
-                    // Danger: a fetch may have brought a newer list meanwhile; older changes would undo it.
-                    let old = kind == ListKind::Changes && Some(list.index) < self.index.get();
-                    if !nothing && !old {
-                        self.take(node, list, kind);
-                        continue;
-                    }
-                    // A version that brings no change is still the one to go on from.
-                    self.index.set(self.index.get().max(Some(list.index)));
-                    self.hear();
-                    if begun.elapsed() < PAUSE {
+                    if !news && begun.elapsed() < PAUSE {
                         // Danger: a watch that does not wait would keep the core busy.
                         tokio::time::sleep(PAUSE).await;
                     }
@@ -221,40 +196,78 @@
         }
     }
 
+    /// Takes in what a watch was told, if it is news.
+    async fn heed(&self, node: &Rc<Node>, told: Told) -> Result<bool, Failure> {
+        let list = &told.list;
+        let (index, known) = (list.index, self.index.get());
+        let nothing = list.is_empty() && !list.snapshot && known.is_some();
+        let kind = if list.snapshot || known.is_none() { ListKind::Whole } else { ListKind::Changes };
+        // Danger: a fetch may have brought a newer list meanwhile; older changes would undo it.
+        let old = kind == ListKind::Changes && Some(index) < known;
+        if !nothing && !old && self.take_in(node, told, kind).await? {
+            return Ok(true);
+        }
+        // A version that brings no change is still the one to go on from.
+        self.index.set(self.index.get().max(Some(index)));
+        self.hear();
+        Ok(false)
+    }
+
     /// Fetches the whole list once.
     pub fn fetch(self: &Rc<Self>, node: &Rc<Node>) {
         let (discovery, node, moves) = (self.clone(), node.clone(), self.moves.get());
         tokio::task::spawn_local(async move {
             let answer = discovery.get(&mut None, "/discovery/hosts", FETCH_WAIT).await;
-            if discovery.moves.get() != moves {
-                // The new agent is asked for its whole list anyway. Danger: the same address after two moves.
-                return;
-            }
-            match answer {
+            // The new agent is asked for its whole list anyway. Danger: the same address after two moves.
+            let moved = || discovery.moves.get() != moves;
+            let failure = match answer {
+                Ok(_) if moved() => return,
                 // The watch may have brought something newer meanwhile.
-                Ok(list) if Some(list.index) >= discovery.index.get() => {
-                    discovery.take(&node, list, ListKind::Whole);
-                }
-                Ok(_) => {}
-                Err(failure) => {
-                    eprintln!("pinerelay: discovery: {failure}; the watch goes on");
-                    node.event(Event::Members { kind: ListKind::Lost, entries: Vec::new() });
+                Ok(told) if Some(told.list.index) >= discovery.index.get() => {
+                    discovery.take_in(&node, told, ListKind::Whole).await.err()
                 }
+                Ok(_) => None,
+                Err(failure) => Some(failure),
+            };
+            if let Some(failure) = failure.filter(|_| !moved()) {
+                eprintln!("pinerelay: discovery: {failure}; the watch goes on");
+                node.event(Event::Members { kind: ListKind::Lost, entries: Vec::new() });
             }
         });
     }
 
+    /// Asks for a list. It may stay silent for so long, and take as long as it goes on coming.
     async fn get(
         &self,
         connection: &mut Option<Connection>,
         path: &str,
         wait: Duration,
-    ) -> Result<List, Failure> {
-        timeout(wait, self.exchange(connection, path)).await.unwrap_or(Err(Failure::Silent))
+    ) -> Result<Told, Failure> {
+        let patience = Patience::new(Instant::now(), wait);
+        let asked = by(patience.silent(), self.ask(connection.take(), path)).await;
+        let (line, response) = asked.ok_or(Failure::Silent)??;
+        let status = response.status();
+        let text = gather(response.into_body(), patience).await?;
+        if status != StatusCode::OK {
+            return Err(Failure::Status(status));
+        }
+        *connection = Some(line);
+        let long = text.len() > DIRECT_MOST;
+        let read = move || List::read(&text);
+        let list = if long { aside(read).await? } else { read() }.map_err(Failure::Malformed)?;
+        if list.readable() {
+            Ok(Told { list, long })
+        } else {
+            Err(Failure::Unreadable)
+        }
     }
 
-    async fn exchange(&self, connection: &mut Option<Connection>, path: &str) -> Result<List, Failure> {
-        let mut line = match connection.take().filter(Connection::usable) {
+    async fn ask(
+        &self,
+        kept: Option<Connection>,
+        path: &str,
+    ) -> Result<(Connection, Response<Incoming>), Failure> {
+        let mut line = match kept.filter(Connection::usable) {
             Some(line) => line,
             None => Connection::open(self.address.get(), ()).await.map_err(|_| Failure::Broken)?,
         };
@@ -263,18 +276,7 @@
         let host = HeaderValue::from_str(&self.address.get().to_string()).map_err(|_| Failure::Broken)?;
         request.headers_mut().insert(HOST, host);
         let response = line.send(request).await.map_err(|_| Failure::Broken)?;
-        let status = response.status();
-        let body = whole(response.into_body(), LIST_MOST).await.map_err(|_| Failure::Broken)?;
-        if status != StatusCode::OK {
-            return Err(Failure::Status(status));
-        }
-        *connection = Some(line);
-        let list: List = serde_json::from_slice(&body).map_err(Failure::Malformed)?;
-        if list.readable() {
-            Ok(list)
-        } else {
-            Err(Failure::Unreadable)
-        }
+        Ok((line, response))
     }
 
     /// Comes back once discovery has told what it holds.
@@ -287,63 +289,142 @@
         self.heard.send_if_modified(|heard| !std::mem::replace(heard, true));
     }
 
-    fn take(&self, node: &Rc<Node>, list: List, kind: ListKind) {
-        self.index.set(Some(list.index));
-        let entries: Vec<Member> =
-            list.endpoints.into_iter().flatten().filter_map(|value| self.entry(node, value)).collect();
+    /// Takes in a list of any length. False if it was overtaken while it was made ready: by a move, or by a
+    /// newer list.
+    async fn take_in(&self, node: &Rc<Node>, told: Told, kind: ListKind) -> Result<bool, Failure> {
+        if !told.long {
+            self.take(node, &told.list, kind);
+            return Ok(true);
+        }
+        let list = Arc::new(told.list);
+        let (moves, taken) = (self.moves.get(), self.taken.get());
+        loop {
+            let known = node.servers.endpoints();
+            let made = {
+                let (list, known, places) = (list.clone(), known.clone(), self.places.clone());
+                aside(move || made_ready(&known, &list, kind, &places)).await?
+            };
+            let older = self.taken.get() != taken && Some(list.index) < self.index.get();
+            if self.moves.get() != moves || older {
+                let_go((list, known, made));
+                return Ok(false);
+            }
+            // Danger: what was made ready beside something else would undo what has come since.
+            if node.servers.still(&known) {
+                list.faults().lines().for_each(log);
+                self.put(node, list.index, made, kind);
+                let_go((list, known));
+                return Ok(true);
+            }
+            let_go((known, made));
+        }
+    }
+
+    /// Takes in a list on the spot.
+    fn take(&self, node: &Rc<Node>, list: &List, kind: ListKind) {
+        list.faults().lines().for_each(log);
         if kind != ListKind::Changes {
-            self.names.borrow_mut().retain(|id, _| entries.iter().any(|m| m.server == *id));
-            node.servers.keep_only(&entries.iter().map(|m| m.server).collect::<Vec<_>>());
+            let made = made_ready(&node.servers.endpoints(), list, kind, &self.places);
+            return self.put(node, list.index, made, kind);
         }
+        let mut faults = Faults::default();
+        let entries = node.servers.change(|endpoints, stale| {
+            let entries = list.entries().iter();
+            entries.filter_map(|e| endpoints.change(e, &self.places, stale, &mut faults)).collect()
+        });
+        faults.lines().for_each(log);
+        self.tell(node, list.index, entries, kind);
+    }
+
+    /// Puts what was made ready in the place of what was known.
+    fn put(&self, node: &Rc<Node>, index: u64, made: Renewed, kind: ListKind) {
+        made.faults.lines().for_each(log);
+        let before = node.servers.replace(made.endpoints, &made.stale);
+        if before.len() > DIRECT_ENTRIES {
+            let_go(before);
+        }
+        self.tell(node, index, made.members, kind);
+    }
+
+    fn tell(&self, node: &Rc<Node>, index: u64, entries: Vec<Member>, kind: ListKind) {
+        self.index.set(Some(index));
+        self.taken.set(self.taken.get() + 1);
         node.event(Event::Members { kind, entries });
         if kind != ListKind::Stale {
             self.hear();
         }
     }
+}
 
-    fn entry(&self, node: &Rc<Node>, value: serde_json::Value) -> Option<Member> {
-        let e: Endpoint = match serde_json::from_value(value) {
-            Ok(e) => e,
-            Err(error) => {
-                eprintln!("pinerelay: discovery: malformed entry: {error}");
-                return None;
-            }
-        };
-        let server = number(&e.name);
-        let mut names = self.names.borrow_mut();
-        let name = names.entry(server).or_insert_with(|| e.name.clone());
-        if *name != e.name {
-            // Danger: two app servers under one number would share their state. The later one is left out.
-            eprintln!("pinerelay: discovery: {} and {name} have the same number", e.name);
-            return None;
-        }
-        let state = match e.status.as_str() {
-            "up" => MemberState::In,
-            "removed" => MemberState::Out,
-            "draining" => MemberState::Draining,
-            other => {
-                eprintln!("pinerelay: discovery: {} is {other:?}, taken as draining", e.name);
-                MemberState::Draining
-            }
-        };
-        if state == MemberState::Out {
-            names.remove(&server);
-            node.servers.remove(server);
-        } else if !node.servers.set(server, e.address.parse().ok(), e.since_ms, state == MemberState::In) {
-            eprintln!("pinerelay: discovery: {} has no usable address", e.name);
-            return None;
+fn made_ready(known: &Endpoints, list: &List, kind: ListKind, places: &Places) -> Renewed {
+    match kind {
+        ListKind::Changes => known.changed(list.entries(), places),
+        _ => known.renewed(list.entries(), places),
+    }
+}
+
+fn log(fault: String) {
+    eprintln!("pinerelay: discovery: {fault}");
+}
+
+/// Works something out on a thread of its own, while requests go on on this one.
+async fn aside<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> Result<T, Failure> {
+    tokio::task::spawn_blocking(work).await.map_err(|_| Failure::Broken)
+}
+
+/// Drops what may be long. Danger: to free tens of thousands of entries holds up requests, too.
+fn let_go<T: Send + 'static>(what: T) {
+    tokio::task::spawn_blocking(move || drop(what));
+}
+
+/// What comes of some work, unless it is not done by then.
+async fn by<F: Future>(until: Instant, work: F) -> Option<F::Output> {
+    let mut work = pin!(work);
+    match timeout_at(until, work.as_mut()).await {
+        Ok(done) => Some(done),
+        Err(_) => timeout(LAST_LOOK, work).await.ok(),
+    }
+}
+
+/// Takes in the text of a list.
+async fn gather(mut body: Incoming, patience: Patience) -> Result<Vec<u8>, Failure> {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > LIST_MOST {
+        return Err(Failure::TooLong);
+    }
+    let mut text = Vec::with_capacity(announced);
+    let mut stop = patience.silent();
+    while let Some(frame) = by(stop, body.frame()).await.ok_or(Failure::Silent)? {
+        let Ok(data) = frame.map_err(|_| Failure::Broken)?.into_data() else { continue };
+        if text.len() + data.len() > LIST_MOST {
+            return Err(Failure::TooLong);
         }
-        let place =
-            |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(list.len()) as u32;
-        Some(Member {
-            server,
-            zone: place(&self.zones, &e.zone),
-            kind: place(&self.kinds, &e.kind),
-            cell: e.group,
-            state,
-            weight: e.weight.unwrap_or(1.0),
-            started: e.since_ms.saturating_mul(1000),
-        })
+        text.extend_from_slice(&data);
+        stop = patience.heard(Instant::now());
+    }
+    Ok(text)
+}
+
+/// Until when an answer is waited for.
+#[derive(Clone, Copy)]
+pub struct Patience {
+    until: Instant,
+}
+
+impl Patience {
+    /// Of a call begun at this time whose answer may stay out for so long.
+    pub fn new(begun: Instant, wait: Duration) -> Self {
+        Patience { until: begun + wait }
+    }
+
+    /// Until when, while nothing comes.
+    pub fn silent(self) -> Instant {
+        self.until
+    }
+
+    /// Until when, if some of the answer has come at this time.
+    pub fn heard(self, at: Instant) -> Instant {
+        self.until.max(at + STALL).min(self.until + LIST_WAIT)
     }
 }
 
@@ -386,9 +467,3 @@
         self.backoff.reset();
     }
 }
-
-/// A server's number, from its name alone so that all nodes agree: FNV-1a.
-pub fn number(name: &str) -> ServerId {
-    let step = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    ServerId(name.bytes().fold(0x811c_9dc5, step).into())
-}
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::interface::{Micros, Outcome, ServerId};
@@ -14,6 +15,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use super::budget::{Budget, Slot};
+use super::endpoints::{Endpoint, Endpoints};
 use super::http::{framed, whole, BadBody, Broken, Connection};
 use super::node::Clock;
 use super::reuse::Reuse;
@@ -58,31 +60,37 @@
     since: Instant,
 }
 
-struct Host {
+/// The connections of one app server, as long as they lead to it: with another address or start it gets another
+/// pool, and what was opened for the old one is not kept.
+struct Pool {
     address: SocketAddr,
-    host: HeaderValue,
     since_ms: u64,
-    up: bool,
-    /// Another with each address and start, never given twice: connections of an earlier one are not kept.
-    generation: u64,
-    idle: Vec<Kept>,
+    host: HeaderValue,
+    /// The one idle for longest first.
+    idle: RefCell<Vec<Kept>>,
+}
+
+impl Pool {
+    fn fits(&self, endpoint: &Endpoint) -> bool {
+        self.address == endpoint.address && self.since_ms == endpoint.since_ms
+    }
 }
 
 /// All app servers that discovery has named.
 pub struct Servers {
-    hosts: RefCell<BTreeMap<ServerId, Host>>,
-    /// The last generation given.
-    generation: Cell<u64>,
+    endpoints: RefCell<Arc<Endpoints>>,
+    /// Of those only that have an idle connection or an attempt out, or had one when last swept.
+    pools: RefCell<BTreeMap<ServerId, Rc<Pool>>>,
     budget: Rc<Budget>,
     connect_timeout: Duration,
     keep: Duration,
     reuse: Reuse,
 }
 
-/// A connection to an app server, and of which generation.
+/// A connection to an app server, and the pool that it was opened for.
 struct Line {
     connection: Connection,
-    generation: u64,
+    pool: Rc<Pool>,
     /// For how long it stood idle, if it was kept.
     idle: Option<Duration>,
 }
@@ -100,8 +108,8 @@
     pub fn new(budget: Rc<Budget>, connect_timeout: Micros, conn_idle: Micros) -> Rc<Self> {
         let or = |value: Micros, default| if value > 0 { value } else { default };
         let servers = Rc::new(Servers {
-            hosts: RefCell::default(),
-            generation: Cell::default(),
+            endpoints: RefCell::default(),
+            pools: RefCell::default(),
             budget,
             connect_timeout: Duration::from_micros(or(connect_timeout, 250_000)),
             keep: Duration::from_micros(or(conn_idle, 10_000_000) / 2),
@@ -120,9 +128,12 @@
 
     fn sweep(&self) {
         self.reuse.fade();
-        for host in self.hosts.borrow_mut().values_mut() {
-            host.idle.retain(|k| self.usable(k));
-        }
+        self.pools.borrow_mut().retain(|_, pool| {
+            let mut idle = pool.idle.borrow_mut();
+            idle.retain(|k| self.usable(k));
+            // Danger: an attempt that is out gives its connection back to the pool that it knows.
+            !idle.is_empty() || Rc::strong_count(pool) > 1
+        });
     }
 
     fn usable(&self, kept: &Kept) -> bool {
@@ -130,54 +141,66 @@
         idle < self.keep && self.reuse.allows(idle) && kept.connection.usable()
     }
 
-    /// What discovery says of an app server; without a usable address the last one stands. False if there is
-    /// none at all.
-    pub fn set(&self, id: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool {
-        let mut hosts = self.hosts.borrow_mut();
-        let Some(address) = address.or_else(|| hosts.get(&id).map(|h| h.address)) else { return false };
-        let next = self.generation.get() + 1;
-        self.generation.set(next);
-        // Danger: a new app server may stand where one that has gone stood. Connections lead to the old one.
-        let same = hosts.iter_mut().filter(|(&other, h)| other != id && h.address == address);
-        same.for_each(|(_, old)| {
-            old.generation = next;
-            old.idle.clear();
-        });
-        let host = hosts.entry(id).or_insert_with(|| Host {
-            address,
-            host: host_header(address),
-            since_ms,
-            up,
-            generation: next,
-            idle: Vec::new(),
-        });
-        if host.address != address || host.since_ms != since_ms {
-            (host.address, host.host, host.since_ms) = (address, host_header(address), since_ms);
-            host.generation = next;
-            host.idle.clear();
-        }
-        host.up = up;
-        if !up {
-            host.idle.clear();
+    /// What is known of them.
+    pub fn endpoints(&self) -> Arc<Endpoints> {
+        self.endpoints.borrow().clone()
+    }
+
+    /// Whether nothing has been taken in since these were read off.
+    pub fn still(&self, endpoints: &Arc<Endpoints>) -> bool {
+        Arc::ptr_eq(&self.endpoints.borrow(), endpoints)
+    }
+
+    /// Takes in changes. These are told what has changed, and add the app servers whose connections may lead
+    /// elsewhere now.
+    pub fn change<T>(&self, changes: impl FnOnce(&mut Endpoints, &mut Vec<ServerId>) -> T) -> T {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let mut stale = Vec::new();
+        let told = changes(Arc::make_mut(&mut endpoints), &mut stale);
+        self.let_go(&stale);
+        let pools = self.pools.borrow();
+        for (&server, pool) in pools.iter() {
+            if !endpoints.get(server).is_some_and(|e| e.up) {
+                pool.idle.borrow_mut().clear();
+            }
         }
-        true
+        told
     }
 
-    /// Forgets all that a whole list does not name.
-    pub fn keep_only(&self, listed: &[ServerId]) {
-        self.hosts.borrow_mut().retain(|id, _| listed.contains(id));
+    /// Keeps no connection of these, also none that is in use.
+    fn let_go(&self, stale: &[ServerId]) {
+        let mut pools = self.pools.borrow_mut();
+        for pool in stale.iter().filter_map(|server| pools.remove(server)) {
+            pool.idle.borrow_mut().clear();
+        }
     }
 
-    /// Forgets an app server that has been removed.
-    pub fn remove(&self, id: ServerId) {
-        self.hosts.borrow_mut().remove(&id);
+    /// Puts this in the place of what was known, which is handed back. Only app servers with connections are
+    /// looked at; those of the stale ones are not kept.
+    #[must_use = "dropping a long one takes a while"]
+    pub fn replace(&self, endpoints: Endpoints, stale: &[ServerId]) -> Arc<Endpoints> {
+        self.let_go(stale);
+        self.pools.borrow_mut().retain(|&server, pool| {
+            let endpoint = endpoints.get(server).filter(|e| pool.fits(e));
+            if !endpoint.is_some_and(|e| e.up) {
+                pool.idle.borrow_mut().clear();
+            }
+            // Danger: a new app server may stand where one that has gone stood. Connections lead to the old one.
+            let own = endpoint.is_some() && !endpoints.shares(server, pool.address);
+            if !own {
+                pool.idle.borrow_mut().clear();
+            }
+            own
+        });
+        self.endpoints.replace(Arc::new(endpoints))
     }
 
     /// Closes the connection that has been idle for longest, to free its descriptor.
     pub fn close_an_idle(&self) -> bool {
-        let mut hosts = self.hosts.borrow_mut();
-        let oldest = hosts.values_mut().filter(|h| !h.idle.is_empty()).min_by_key(|h| h.idle[0].since);
-        oldest.map(|h| h.idle.remove(0)).is_some()
+        let pools = self.pools.borrow();
+        let longest = |pool: &Rc<Pool>| pool.idle.borrow().first().map(|kept| kept.since);
+        let oldest = pools.values().filter_map(|p| Some((longest(p)?, p))).min_by_key(|&(since, _)| since);
+        oldest.map(|(_, pool)| pool.idle.borrow_mut().remove(0)).is_some()
     }
 
     /// Makes one attempt and tells how it ended, as the protocol's table has it. With the body, if served.
@@ -201,11 +224,8 @@
                 Ok(Err(NoLine::Shed)) => return (Outcome::Ignored, None),
             };
             let left = stop.saturating_sub(clock.now()) / 1000;
-            let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
-                return (Outcome::ConnectFailed, None);
-            };
-            let message = request.take().unwrap_or_else(|| build(forward, host, left));
-            let Line { mut connection, generation, idle } = line;
+            let Line { mut connection, pool, idle } = line;
+            let message = request.take().unwrap_or_else(|| build(forward, pool.host.clone(), left));
             let heard = connection.heard();
             begun.set(true);
             let answer = tokio::select! {
@@ -223,7 +243,7 @@
             match answer {
                 Ok((outcome, body, reusable)) => {
                     if reusable {
-                        self.give_back(server, connection, generation);
+                        self.give_back(server, connection, &pool);
                     }
                     return (outcome, body);
                 }
@@ -271,29 +291,22 @@
     async fn line(&self, server: ServerId, fresh_only: bool, left: Duration) -> Result<Line, NoLine> {
         // Danger: a machine that has vanished must not take the time in which another could still be asked.
         let patience = self.connect_timeout.min((left / 4).max(CONNECT_LEAST));
-        let (address, generation) = {
-            let mut hosts = self.hosts.borrow_mut();
-            let Some(host) = hosts.get_mut(&server).filter(|h| h.up) else { return Err(NoLine::Failed) };
-            let rested = |kept: &Kept| kept.since.elapsed() >= REST;
-            while let Some(place) = host.idle.iter().rposition(rested).filter(|_| !fresh_only) {
-                let kept = host.idle.remove(place);
-                if self.usable(&kept) {
-                    let (generation, idle) = (host.generation, Some(kept.since.elapsed()));
-                    return Ok(Line { connection: kept.connection, generation, idle });
-                }
+        let pool = self.pool(server).ok_or(NoLine::Failed)?;
+        if !fresh_only {
+            if let Some(kept) = self.rested(&pool) {
+                let idle = Some(kept.since.elapsed());
+                return Ok(Line { connection: kept.connection, pool, idle });
             }
-            (host.address, host.generation)
-        };
+        }
         let connect = async {
             let slot = self.slot().await;
-            Connection::open(address, slot).await.map_err(|e| is_descriptors(&e))
+            Connection::open(pool.address, slot).await.map_err(|e| is_descriptors(&e))
         };
         match timeout(patience, connect).await {
             Ok(Ok(connection)) => {
                 // Danger: the list may have changed while the connection came up.
-                let hosts = self.hosts.borrow();
-                let same = hosts.get(&server).is_some_and(|h| h.up && h.generation == generation);
-                same.then_some(Line { connection, generation, idle: None }).ok_or(NoLine::Failed)
+                let same = self.is_current(server, &pool);
+                same.then_some(Line { connection, pool, idle: None }).ok_or(NoLine::Failed)
             }
             Ok(Err(true)) => Err(NoLine::Shed),
             Err(_) if self.budget.exhausted() => Err(NoLine::Shed),
@@ -301,6 +314,36 @@
         }
     }
 
+    /// The pool of an app server that wants new work.
+    fn pool(&self, server: ServerId) -> Option<Rc<Pool>> {
+        let endpoints = self.endpoints.borrow();
+        let &Endpoint { address, since_ms, .. } = endpoints.get(server).filter(|e| e.up)?;
+        let new = || {
+            let (host, idle) = (host_header(address), RefCell::default());
+            Rc::new(Pool { address, since_ms, host, idle })
+        };
+        Some(self.pools.borrow_mut().entry(server).or_insert_with(new).clone())
+    }
+
+    /// Whether connections of this pool still lead to an app server that wants new work.
+    fn is_current(&self, server: ServerId, pool: &Rc<Pool>) -> bool {
+        self.endpoints.borrow().get(server).is_some_and(|e| e.up)
+            && self.pools.borrow().get(&server).is_some_and(|p| Rc::ptr_eq(p, pool))
+    }
+
+    /// The connection last used of those that have rested and are of use; others on the way to it are closed.
+    fn rested(&self, pool: &Pool) -> Option<Kept> {
+        let mut idle = pool.idle.borrow_mut();
+        let rested = |kept: &Kept| kept.since.elapsed() >= REST;
+        while let Some(place) = idle.iter().rposition(rested) {
+            let kept = idle.remove(place);
+            if self.usable(&kept) {
+                return Some(kept);
+            }
+        }
+        None
+    }
+
     /// A place for one more connection. Guard: with none free, idle ones are closed first; what finds none
     /// within the connect time-out is shed.
     async fn slot(&self) -> Slot {
@@ -308,29 +351,25 @@
         self.budget.room(|| self.budget.for_server(), close_one).await
     }
 
-    fn give_back(&self, server: ServerId, connection: Connection, generation: u64) {
-        let mut hosts = self.hosts.borrow_mut();
-        if let Some(host) = hosts.get_mut(&server).filter(|h| h.up && h.generation == generation) {
-            host.idle.push(Kept { connection, since: Instant::now() });
+    fn give_back(&self, server: ServerId, connection: Connection, pool: &Rc<Pool>) {
+        if self.is_current(server, pool) {
+            pool.idle.borrow_mut().push(Kept { connection, since: Instant::now() });
             self.budget.ease();
         }
     }
 
     /// Asks an app server whether it is alive.
     pub async fn probe(&self, server: ServerId) -> Outcome {
-        let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
-            return Outcome::ConnectFailed;
-        };
-        let Ok(Line { mut connection, generation, .. }) = self.line(server, false, PROBE_WAIT).await else {
+        let Ok(Line { mut connection, pool, .. }) = self.line(server, false, PROBE_WAIT).await else {
             return Outcome::ConnectFailed;
         };
         let mut request = Request::new(Full::default());
         *request.uri_mut() = Uri::from_static("/alive");
-        request.headers_mut().insert(HOST, host);
+        request.headers_mut().insert(HOST, pool.host.clone());
         match timeout(PROBE_WAIT, self.exchange(&mut connection, request)).await {
             Ok(Ok((outcome, _, reusable))) => {
                 if reusable {
-                    self.give_back(server, connection, generation);
+                    self.give_back(server, connection, &pool);
                 }
                 outcome
             }
--- /dev/null
+++ b/tests/lists.rs
@@ -0,0 +1,308 @@
+//! Lists of app servers as they are read and taken in, up to the longest that is to come.
+
+mod fakes;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fakes::*;
+use mountbend::interface::{MemberState, ServerId};
+use mountbend::net::discovery::LIST_MOST;
+use mountbend::net::endpoints::{number, Difference, Endpoints, Places, Renewed};
+use mountbend::net::list::{Faults, List, FAULTS_TOLD};
+use serde_json::{json, Value};
+
+const SIZES: [usize; 3] = [200, 4_600, 46_000];
+const MANY: usize = SIZES[2];
+/// Two names of one FNV-1a hash of 32 bits.
+const ALIKE: [&str; 2] = ["s-81b30b60", "s-bc2817e4"];
+
+/// A name as the protocol has it.
+fn name(number: usize) -> String {
+    format!("s-{number:08x}")
+}
+
+fn numbered(number: usize, status: &str) -> Value {
+    let [_, b, c, d] = (number as u32).to_be_bytes();
+    entry(&name(number), ([127, b + 1, c, d], 9).into(), "a", status)
+}
+
+fn read(entries: &[Value]) -> List {
+    let text = json!({"index": 2, "snapshot": true, "endpoints": entries}).to_string();
+    List::read(text.as_bytes()).expect("a list")
+}
+
+fn places() -> Places {
+    Places::new(vec!["a".into()], vec!["m1".into()])
+}
+
+/// What is known after this whole list.
+fn whole(known: &Endpoints, entries: &[Value]) -> Renewed {
+    known.renewed(read(entries).entries(), &places())
+}
+
+/// What is told of these changes.
+fn changes(known: &mut Endpoints, entries: &[Value]) -> (Vec<(ServerId, MemberState)>, Vec<ServerId>) {
+    let (mut stale, mut faults) = (Vec::new(), Faults::default());
+    let list = read(entries);
+    let told = list.entries().iter().filter_map(|e| known.change(e, &places(), &mut stale, &mut faults));
+    (told.map(|m| (m.server, m.state)).collect(), stale)
+}
+
+#[test]
+fn a_whole_list_changes_what_differs_and_nothing_else_at_any_size() {
+    for size in SIZES {
+        let mut entries: Vec<Value> = (0..size).map(|n| numbered(n, "up")).collect();
+        let first = whole(&Endpoints::default(), &entries);
+        assert_eq!(first.difference, Difference { added: size, ..Difference::default() });
+        assert_eq!(whole(&first.endpoints, &entries).difference.same, size);
+
+        entries[7] = numbered(7, "draining");
+        entries[8]["since_ms"] = json!(5);
+        entries[9]["address"] = json!("127.0.0.1:9");
+        entries[10] = numbered(size, "up");
+        let next = whole(&first.endpoints, &entries);
+        assert_eq!(next.difference, Difference { same: size - 4, changed: 3, added: 1, gone: 1 });
+        assert!(next.members.windows(2).all(|w| w[0].server < w[1].server), "one for each, in order");
+        for number in (0..=size).filter(|&n| n != 10) {
+            let found = next.endpoints.find(&name(number)).and_then(|s| next.endpoints.get(s));
+            assert_eq!(found.map(|e| &*e.name), Some(&*name(number)));
+        }
+        assert_eq!(next.endpoints.find(&name(10)), None);
+
+        let others: Vec<Value> = (size + 1..=2 * size).map(|n| numbered(n, "up")).collect();
+        let last = whole(&next.endpoints, &others);
+        assert_eq!(last.difference, Difference { added: size, gone: size, ..Difference::default() });
+        assert_eq!((last.endpoints.len(), last.members.len()), (size, size));
+    }
+}
+
+#[test]
+fn changes_one_by_one_come_to_the_same_as_a_whole_list_and_as_long_changes() {
+    let start: Vec<Value> = (0..40).map(|n| numbered(n, "up")).collect();
+    let mut known = whole(&Endpoints::default(), &start).endpoints;
+    let random = &mut fastrand::Rng::with_seed(12);
+    for _ in 0..300 {
+        let list: Vec<Value> = (0..random.usize(0..6))
+            .map(|_| {
+                let mut e = numbered(random.usize(0..60), ["up", "draining", "removed"][random.usize(0..3)]);
+                e["since_ms"] = json!(random.u32(0..3));
+                if random.u32(0..4) == 0 {
+                    e["address"] = json!(["", "127.0.0.1:9"][random.usize(0..2)]);
+                }
+                e
+            })
+            .collect();
+        let beside = known.changed(read(&list).entries(), &places());
+        let (told, stale) = changes(&mut known, &list);
+        assert_eq!(beside.members.iter().map(|m| (m.server, m.state)).collect::<Vec<_>>(), told);
+        assert_eq!(beside.stale, stale);
+        // The same again as a whole list differs in nothing.
+        let all: Vec<Value> = (0..60)
+            .filter_map(|n| known.get(known.find(&name(n))?))
+            .map(|e| {
+                let mut entry = entry(&e.name, e.address, "a", if e.up { "up" } else { "draining" });
+                entry["since_ms"] = json!(e.since_ms);
+                entry
+            })
+            .collect();
+        for endpoints in [&known, &beside.endpoints] {
+            let same = Difference { same: all.len(), ..Difference::default() };
+            assert_eq!(whole(endpoints, &all).difference, same);
+        }
+    }
+}
+
+#[test]
+fn a_change_for_an_app_server_that_is_not_known_adds_it_or_is_passed_over() {
+    let mut known = whole(&Endpoints::default(), &[numbered(1, "up")]).endpoints;
+    let (told, stale) =
+        changes(&mut known, &[numbered(2, "removed"), json!({"name": "s-3", "status": "up"})]);
+    assert!(told.is_empty() && stale.is_empty(), "without an address, or gone before it came");
+    let (told, _) = changes(&mut known, &[numbered(2, "draining")]);
+    assert_eq!(told, [(number(&name(2)), MemberState::Draining)]);
+    assert_eq!(known.len(), 2);
+    // Where another stands already the connections of both may lead to either.
+    let mut there = numbered(3, "up");
+    there["address"] = numbered(1, "up")["address"].clone();
+    let (_, stale) = changes(&mut known, &[there]);
+    assert_eq!(BTreeSet::from_iter(stale), BTreeSet::from([1, 3].map(|n| number(&name(n)))));
+}
+
+#[test]
+fn of_two_entries_for_one_name_the_later_stands() {
+    let mut unplaced = numbered(1, "draining");
+    unplaced["address"] = json!("");
+    let list = whole(&Endpoints::default(), &[numbered(1, "up"), numbered(2, "up"), unplaced]);
+    let states: BTreeSet<_> = list.members.iter().map(|m| (m.server, m.state == MemberState::In)).collect();
+    assert_eq!(states, BTreeSet::from([(number(&name(1)), false), (number(&name(2)), true)]));
+    assert_eq!(list.members.len(), 2);
+    let first = list.endpoints.get(number(&name(1))).expect("placed by the earlier entry");
+    assert!(!first.up && first.address.port() == 9);
+}
+
+#[test]
+fn names_never_share_a_number_and_those_that_go_free_theirs() {
+    let [a, b] = ALIKE.map(number);
+    assert_eq!(a.0 >> 32, b.0 >> 32, "the names of this test");
+    assert_ne!(a, b);
+    // Where all have one number, each has another all the same, and keeps it while it is known.
+    let same = |_: &str| ServerId(u64::MAX);
+    let all = |numbers: &[usize]| numbers.iter().map(|&n| numbered(n, "up")).collect::<Vec<_>>();
+    let mut known = whole(&Endpoints::numbered_by(same), &all(&[1, 2, 3])).endpoints;
+    let ids =
+        |e: &Endpoints, numbers: &[usize]| numbers.iter().map(|&n| e.find(&name(n))).collect::<Vec<_>>();
+    let before = ids(&known, &[1, 2, 3]);
+    assert_eq!(before.iter().flatten().collect::<BTreeSet<_>>().len(), 3);
+    assert!(before.contains(&Some(ServerId(u64::MAX))) && before.contains(&Some(ServerId(0))));
+    changes(&mut known, &[numbered(1, "removed"), numbered(4, "up")]);
+    assert_eq!(ids(&known, &[1, 2, 3]), [None, before[1], before[2]]);
+    let other = whole(&known, &all(&[0, 4, 3, 2])).endpoints;
+    assert_eq!(ids(&other, &[2, 3, 4]), ids(&known, &[2, 3, 4]));
+    assert_eq!(ids(&other, &[0, 2, 3, 4]).iter().flatten().collect::<BTreeSet<_>>().len(), 4);
+    let none = whole(&other, &[]).endpoints;
+    assert!(none.is_empty() && whole(&none, &all(&[5])).endpoints.find(&name(5)) == Some(ServerId(u64::MAX)));
+}
+
+#[test]
+fn one_malformed_entry_among_many_hides_no_other_and_many_do_not_fill_the_log() {
+    let mut entries: Vec<Value> = (0..MANY).map(|n| numbered(n, "up")).collect();
+    entries[MANY / 2]["status"] = json!(7);
+    let list = read(&entries);
+    assert_eq!((list.entries().len(), list.faults().count()), (MANY - 1, 1));
+    assert!(list.readable());
+    let bad = read(&vec![json!({"name": 7}); MANY]);
+    assert_eq!((bad.entries().len(), bad.faults().count()), (0, MANY));
+    assert!(!bad.readable() && bad.faults().lines().count() == FAULTS_TOLD + 1);
+    let told = whole(&Endpoints::default(), &vec![json!({"name": "s-1", "status": "up"}); 3]);
+    assert_eq!((told.members.len(), told.faults.count()), (0, 1), "of entries for one name only one counts");
+}
+
+fn list(index: u64, entries: &[Value]) -> Value {
+    json!({"index": index, "snapshot": true, "endpoints": entries})
+}
+
+fn with_length(text: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+}
+
+/// Answers watches from one version with this list, until the node watches from the other. Danger: on a slow
+/// machine a watch may have been given up before its answer was whole; it comes again then.
+fn tell(agent: &App, from: u64, to: u64, text: &str) {
+    let (from, to_call) = (format!("after={from}&"), format!("after={to}&"));
+    loop {
+        let seen = agent.next();
+        if seen.message.first.contains(&to_call) {
+            let nothing = json!({"index": to, "snapshot": false, "endpoints": []}).to_string();
+            return seen.spoil(with_length(&nothing).as_bytes());
+        }
+        if seen.message.first.contains(&from) {
+            seen.spoil(with_length(text).as_bytes());
+        }
+    }
+}
+
+/// A node that knows these, and its agent.
+fn start(entries: &[Value]) -> (Edge, App, Value) {
+    let agent = App::new();
+    let mut config = config(entries);
+    config["discovery"] = json!(agent.address.to_string());
+    (Edge::new(&config), agent, config)
+}
+
+/// That the node's next request goes to this app server; the node's end of the connection.
+fn served(app: &App, edge: &Edge, id: &str) -> std::net::SocketAddr {
+    let mut client = edge.client();
+    client.ask(&ask("post", id));
+    let seen = app.next();
+    let line = seen.line();
+    seen.answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+    line
+}
+
+/// So many with names twice as long as the protocol's, all at this app server, indented.
+fn long(index: u64, app: &App) -> String {
+    let entries = (0..MANY).map(|n| entry(&format!("s-{index:08x}{n:010x}"), app.address, "a", "up"));
+    let mut entries: Vec<Value> = entries.collect();
+    entries[MANY / 2] = json!({"name": 7});
+    let text = serde_json::to_string_pretty(&list(index, &entries)).expect("JSON");
+    assert!((8 << 20..LIST_MOST).contains(&text.len()), "{} bytes", text.len());
+    text
+}
+
+#[test]
+fn a_long_indented_list_is_taken_in_and_then_another_in_its_place() {
+    let (first, second) = (App::new(), App::new());
+    let texts = [long(2, &first), long(3, &second)];
+    let (edge, agent, _) = start(&[entry("s-1", nobody(), "a", "up")]);
+    tell(&agent, 1, 2, &texts[0]);
+    served(&first, &edge, "p-1");
+    tell(&agent, 2, 3, &texts[1]);
+    served(&second, &edge, "p-2");
+    first.no_request();
+}
+
+#[test]
+fn a_long_list_that_a_move_overtakes_undoes_nothing() {
+    let (old, new, other) = (App::new(), App::new(), App::new());
+    let text = with_length(&long(9, &old));
+    let (edge, agent, mut config) = start(&[entry("s-1", old.address, "a", "up")]);
+    // Both the fetch and the watch; wherever the move finds the long list, on its way, half made ready or taken in.
+    agent.next().spoil(text.as_bytes());
+    agent.next().spoil(text.as_bytes());
+    config["discovery"] = json!(other.address.to_string());
+    edge.reload(&config.to_string());
+    let list = list(3, &[entry("s-2", new.address, "a", "up")]).to_string();
+    loop {
+        let seen = other.next();
+        if seen.message.first.contains("after=3&") {
+            break;
+        }
+        seen.spoil(with_length(&list).as_bytes());
+    }
+    for number in 0..3 {
+        served(&new, &edge, &format!("p-{number}"));
+    }
+    old.no_request();
+}
+
+#[test]
+fn a_whole_list_leaves_connections_alone_but_those_of_an_address_taken_over() {
+    let app = App::new();
+    let known = [entry("s-1", app.address, "a", "up")];
+    let (edge, agent, _) = start(&known);
+    let line = served(&app, &edge, "p-1");
+    // A connection rests for 20 ms before it is used again.
+    std::thread::sleep(Duration::from_millis(30));
+    tell(&agent, 1, 2, &list(2, &known).to_string());
+    assert_eq!(served(&app, &edge, "p-2"), line, "closed though nothing has changed");
+    std::thread::sleep(Duration::from_millis(30));
+    // The one that has gone is still listed; its connection leads to it and not to the new one.
+    let both = [&known[..], &[entry("s-2", app.address, "a", "up")]].concat();
+    tell(&agent, 2, 3, &list(3, &both).to_string());
+    for number in 0..20 {
+        let id = format!("q-{number}");
+        assert_ne!(served(&app, &edge, &id), line, "a connection to the app server that was there before");
+    }
+}
+
+#[test]
+fn two_names_of_one_hash_are_both_used() {
+    let apps = [App::new(), App::new()];
+    let entries = [0, 1].map(|n| entry(ALIKE[n], apps[n].address, "a", "up"));
+    let (edge, _agent, _) = start(&entries);
+    let mut seen = BTreeSet::new();
+    for number in 0..200 {
+        let mut client = edge.client();
+        client.ask(&ask("post", &format!("p-{number}")));
+        let (which, request) = next_of(&[&apps[0], &apps[1]]);
+        request.answer("200 OK", "", "ok");
+        assert_eq!(client.answer().status(), 200);
+        seen.insert(which);
+        if seen.len() == 2 {
+            return;
+        }
+    }
+    panic!("200 requests went to one of two app servers");
+}
--- a/tests/paces.rs
+++ b/tests/paces.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use mountbend::interface::ServerId;
 use mountbend::net::discovery::*;
+use mountbend::net::endpoints::number;
 
 /// Calls by second of a fleet whose calls all fail after 2 s, as they do at a service that is full.
 fn calls(nodes: u32) -> Vec<usize> {
@@ -37,6 +37,20 @@
     }
 }
 
+#[test]
+fn a_list_that_goes_on_coming_is_waited_for_and_a_silent_agent_is_not() {
+    let begun = tokio::time::Instant::now();
+    for wait in [FIRST_WAIT, FETCH_WAIT] {
+        let (patience, end) = (Patience::new(begun, wait), begun + wait);
+        assert_eq!(patience.silent(), end, "given up as if nothing were ever to come");
+        assert_eq!(patience.heard(begun), end, "what comes early makes nobody wait for longer");
+        assert_eq!(patience.heard(end), end + STALL);
+        assert_eq!(patience.heard(end + LIST_WAIT), end + LIST_WAIT, "bytes in drops are no list");
+    }
+    assert!(FIRST_WAIT + LIST_WAIT <= Duration::from_secs(4), "after a move it has 4 s");
+    assert!(FETCH_WAIT + LIST_WAIT <= TOLD_AFTER);
+}
+
 #[test]
 fn an_agent_on_the_own_machine_is_watched_at_once_in_any_fleet() {
     for seed in 0..300 {
@@ -48,8 +62,11 @@
 
 #[test]
 fn a_name_gives_the_same_number_everywhere() {
-    // Published FNV-1a values: the number must not change from build to build, or nodes would differ.
-    assert_eq!(number(""), ServerId(0x811c_9dc5));
-    assert_eq!(number("a"), ServerId(0xe40c_292c));
-    assert_eq!(number("foobar"), ServerId(0xbf9c_f968));
+    // Published values of FNV-1a and of one-at-a-time: the number must not change
+    // from build to build, or nodes would differ.
+    let halves = |name| (number(name).0 >> 32, number(name).0 & 0xffff_ffff);
+    assert_eq!(halves("").0, 0x811c_9dc5);
+    assert_eq!(halves("a"), (0xe40c_292c, 0xca2e_9442));
+    assert_eq!(halves("foobar").0, 0xbf9c_f968);
+    assert_eq!(halves("The quick brown fox jumps over the lazy dog").1, 0x519e_91f5);
 }
