Test that moves and changes that come while a long list is made ready are not undone

A node in the test's own process, on one thread: the move or the change is made at the moment in which work on the list is seen to be under way beside it. Each test fails without its guard in take_in.

--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -5,11 +5,20 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use std::rc::Rc;
+use std::sync::Arc;
+
 use fakes::*;
-use mountbend::interface::{MemberState, ServerId};
-use mountbend::net::discovery::LIST_MOST;
+use mountbend::control::Controller;
+use mountbend::interface::{MemberState, ServerId, Settings};
+use mountbend::net::budget::Budget;
+use mountbend::net::counter::Counter;
+use mountbend::net::discovery::{Discovery, Pace, LIST_MOST};
 use mountbend::net::endpoints::{number, Difference, Endpoints, Places, Renewed};
 use mountbend::net::list::{Faults, List, FAULTS_TOLD};
+use mountbend::net::node::Node;
+use mountbend::net::servers::Servers;
+use mountbend::wire::Env;
 use serde_json::{json, Value};
 
 const SIZES: [usize; 3] = [200, 4_600, 46_000];
@@ -267,6 +276,97 @@
     old.no_request();
 }
 
+/// A node in this process, which knows nothing yet, and its discovery.
+fn in_process(agent: &App) -> (Rc<Node>, Rc<Discovery>) {
+    let env: Env = serde_json::from_value(settings()).expect("settings");
+    let settings = Settings::from(env);
+    let pace = Pace::new(1, settings.nodes, false);
+    let discovery = Discovery::new(agent.address, vec!["a".into()], vec!["m1".into()], pace);
+    let servers = Servers::new(Budget::new(64), 0, 0);
+    let counter = Counter::new(None, settings.counter.wait);
+    let node = Node::new(Controller::new(1, settings), 4, servers, counter, discovery.clone());
+    (node, discovery)
+}
+
+/// A call that has come by now.
+fn arrived(agent: &App) -> Option<Seen> {
+    agent.poll_once()
+}
+
+/// Lets the node's tasks go on until this comes back with something.
+async fn until<T>(mut look: impl FnMut() -> Option<T>) -> T {
+    let end = std::time::Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(std::time::Instant::now() < end, "not in time");
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Runs this on a runtime as the edge node's.
+fn on_one_thread(test: impl std::future::Future<Output = ()>) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let local = tokio::runtime::LocalOptions::default();
+    builder.enable_all().build_local(local).expect("a runtime").block_on(test);
+}
+
+#[test]
+fn a_long_list_is_not_put_in_place_after_a_move_that_came_while_it_was_made_ready() {
+    let (agent, other) = (App::new(), App::new());
+    let text = with_length(&long(9, &agent));
+    on_one_thread(async {
+        let (node, discovery) = in_process(&agent);
+        discovery.start(&node, List::default());
+        until(|| arrived(&agent).filter(|seen| seen.message.first.contains("after=0&"))).await;
+        discovery.fetch(&node);
+        let fetch = until(|| arrived(&agent).filter(|seen| !seen.message.first.contains("after="))).await;
+        let known = Arc::downgrade(&node.servers.endpoints());
+        let sent = std::thread::spawn(move || fetch.spoil(text.as_bytes()));
+        // Whoever makes a list ready holds on to what it is made ready beside.
+        until(|| (known.strong_count() > 1).then_some(())).await;
+        discovery.move_to(&node, other.address);
+        until(|| (known.strong_count() <= 1).then_some(())).await;
+        assert!(node.servers.endpoints().is_empty(), "what the old agent told was taken in after the move");
+        let new = list(3, &[numbered(1, "up")]).to_string();
+        // Calls that were given up meanwhile are answered, too.
+        until(|| {
+            let seen = arrived(&other)?;
+            let taken = seen.message.first.contains("after=3&");
+            seen.spoil(with_length(&new).as_bytes());
+            taken.then_some(())
+        })
+        .await;
+        sent.join().expect("sent");
+        let endpoints = node.servers.endpoints();
+        assert_eq!((endpoints.len(), endpoints.find(&name(1)).is_some()), (1, true));
+    });
+}
+
+#[test]
+fn long_changes_do_not_undo_what_came_while_they_were_made_ready() {
+    let agent = App::new();
+    let entries: Vec<Value> = (0..MANY).map(|n| numbered(n, "up")).collect();
+    let text = with_length(&json!({"index": 2, "snapshot": false, "endpoints": entries}).to_string());
+    on_one_thread(async {
+        let (node, discovery) = in_process(&agent);
+        discovery.start(&node, List::default());
+        let watch = until(|| arrived(&agent).filter(|seen| seen.message.first.contains("after=0&"))).await;
+        let known = Arc::downgrade(&node.servers.endpoints());
+        let sent = std::thread::spawn(move || watch.spoil(text.as_bytes()));
+        until(|| (known.strong_count() > 1).then_some(())).await;
+        let late = read(&[numbered(MANY, "up")]);
+        node.servers.change(|endpoints, stale| {
+            endpoints.change(&late.entries()[0], &places(), stale, &mut Faults::default());
+        });
+        until(|| arrived(&agent).filter(|seen| seen.message.first.contains("after=2&"))).await;
+        sent.join().expect("sent");
+        let endpoints = node.servers.endpoints();
+        assert_eq!((endpoints.len(), endpoints.find(&name(MANY)).is_some()), (MANY + 1, true));
+    });
+}
+
 #[test]
 fn a_whole_list_leaves_connections_alone_but_those_of_an_address_taken_over() {
     let app = App::new();
