Look at the subset and at servers met for a request or a tick, not at the fleet

A tick looks twice through the list.

Change: one owner of all that is kept of app servers (src/control/roster.rs): listed ones in the order of their ids, those with something out or a rate of answers, and the attempts out in all. A decision looks at the node's stretch of the ring, a tick and the rate of answers at servers met. Entries of the list are merged in the order of ids; what is as it was is left alone. `Controller::work` counts looks and entries that differ.

On a longer list lots are drawn in the order of the ring, and: - an open server of the subset goes before all others, as it did; - where it has none, up to 256 of the rest are looked at, at even steps all round the ring from a drawn one on. Neighbours on the ring may have fallen together, so these are not the next ones; - for a keyed repeat bound to a zone or a cell all the rest of that group is looked at, by an index that is kept only if a class asks for it: it loses no server that a plain scan would have found; - servers met are forgotten once their rate of answers is lost in rounding, but never the last 256.

A change still shifts the ring's 16 bytes a server in memory.

--- a/src/control.rs
+++ b/src/control.rs
@@ -3,9 +3,12 @@
 //! node's lease and goes to a server; beyond the quota it is refused with a spaced retry-after.
 //! Reading order: constants, quota leases, deferral schedule, server choice, attempts, overload.
 
+mod roster;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
+use roster::{Roster, Server, LOOKS};
 
 /// Housekeeping period: rescues, half-open servers, held requests, give-backs.
 const TICK: Micros = 20_000;
@@ -205,30 +208,6 @@
     stream: bool,
 }
 
-#[derive(Default)]
-struct Server {
-    zone: u32,
-    cell: u32,
-    size: f64,
-    listed: bool,
-    /// Removed, or on no list any more.
-    gone: bool,
-    started: Micros,
-    out: VecDeque<Micros>,
-    latency: f64,
-    done: Rate,
-    /// How attempts ended, by kind: class or plan.
-    tally: BTreeMap<usize, Tally>,
-    heard: Micros,
-    /// When the latest of the attempts was sent that it has answered.
-    answered: Micros,
-    strikes: u32,
-    /// Connections to it that broke under a request since its last answer.
-    breaks: u32,
-    ejected: Micros,
-    slow: Bucket,
-}
-
 /// The decision module of one node.
 #[derive(Default)]
 pub struct Controller {
@@ -260,7 +239,7 @@
     parked: VecDeque<RequestId>,
     /// How long new tries of a class wait.
     patience: BTreeMap<usize, Micros>,
-    servers: BTreeMap<ServerId, Server>,
+    servers: Roster,
     latency: f64,
     deviation: f64,
     /// What is out at servers that answer, smoothed.
@@ -291,6 +270,7 @@
             deviation: LATENCY_START / 2.0,
             retries: RETRY_STORE / 2.0,
             guesses: GUESS_STORE * dearest(&set),
+            servers: Roster::new(&set.classes),
             set,
             ..Controller::default()
         }
@@ -322,7 +302,12 @@
 
     /// How many customers and app servers something is kept of.
     pub fn kept(&self) -> (usize, usize) {
-        (self.customers.len(), self.servers.len())
+        (self.customers.len(), self.servers.ring.len() + self.servers.off.len())
+    }
+
+    /// Work since the start: looks at app servers, for requests and ticks, and list entries that differed.
+    pub fn work(&self) -> (u64, u64) {
+        (self.servers.looked.get(), self.servers.touched)
     }
 
     // ---- Quota leases ----
@@ -364,11 +349,7 @@
         }
         match self.draw(&id, true, out) {
             Verdict::Granted => self.launch(&id, out),
-            Verdict::Held => {
-                if let Some(c) = self.customers.get_mut(&key) {
-                    c.waiting.push_back(id);
-                }
-            }
+            Verdict::Held => self.customers.entry(key).or_default().waiting.push_back(id),
             Verdict::Beyond => self.beyond(&id, out),
         }
     }
@@ -396,15 +377,12 @@
         let Some(c) = self.customers.get_mut(&r.customer) else { return Verdict::Beyond };
         let Some(plan) = self.set.plans.get(r.plan) else { return Verdict::Granted };
         let (key, units, credit) = (r.customer, r.units, self.set.classes[r.class].credit);
-        if plan.open_limit > 0 {
-            // Slots are shared by what the other nodes' recent draws keep out, one slot at least.
-            let other = match c.seen {
-                Some(_) => c.others.get(now, RATE_SPAN) / c.mean.max(0.1) * self.latency / 1e6,
-                None => plan.open_limit as f64 * (1.0 - 1.0 / c.spread),
-            };
-            if c.open as f64 + other + 0.5 > (plan.open_limit as f64).max(other + 1.5) {
-                return Verdict::Beyond;
-            }
+        // Slots are shared by what the other nodes' recent draws keep out, one slot at least.
+        let (slots, drawn) = (plan.open_limit as f64, c.others.get(now, RATE_SPAN) / c.mean.max(0.1));
+        let other =
+            if c.seen.is_some() { drawn * self.latency / 1e6 } else { slots * (1.0 - 1.0 / c.spread) };
+        if plan.open_limit > 0 && c.open as f64 + other + 0.5 > slots.max(other + 1.5) {
+            return Verdict::Beyond;
         }
         if plan.quota_rate <= 0.0 {
             return Verdict::Granted;
@@ -459,9 +437,7 @@
         // nobody's quota while the counter is silent: nothing better is known then.
         let (even, price) = (c.lease + share.store >= units, risk * cost.max(0.0) * worth);
         let guess = !even && trusted && left >= units && (silent || self.guesses >= price);
-        if guess && !silent {
-            self.guesses -= price;
-        }
+        self.guesses -= if guess && !silent { price } else { 0.0 };
         if guess || even {
             let drew = units - c.lease.max(0.0);
             (c.lease, share.store) = (0.0, (share.store - drew).max(0.0));
@@ -531,10 +507,9 @@
             let rest = self.counter_rest;
             self.counter_until = now + rest / 2 + (lot(&mut self.random) * rest as f64 / 2.0) as Micros;
             self.counter_rest = (rest * 2).min(COUNTER_REST_MAX);
-            if outcome == Outcome::TimedOut {
-                self.overdue.entry(name).or_default().push_back((key, call.clone()));
-            } else {
-                not_added(c, &call);
+            match outcome {
+                Outcome::TimedOut => self.overdue.entry(name).or_default().push_back((key, call.clone())),
+                _ => not_added(c, &call),
             }
         }
         if excess > 0.01 {
@@ -622,11 +597,9 @@
         }
         let Some(c) = self.customers.get_mut(&r.customer) else { return };
         let (rate, burst) = (plan.quota_rate, plan.burst);
-        let x = if rate > 0.0 {
-            r.units / c.drawn.get(now, RATE_SPAN).max(rate / c.spread) * 1e6
-        } else {
-            self.latency / (plan.open_limit as f64 / c.spread).max(1.0)
-        };
+        let slots = (plan.open_limit as f64 / c.spread).max(1.0);
+        let drawn = c.drawn.get(now, RATE_SPAN).max(rate / c.spread);
+        let x = if rate > 0.0 { r.units / drawn * 1e6 } else { self.latency / slots };
         let reach = if rate > 0.0 { burst / rate * 1e6 } else { self.latency * plan.open_limit as f64 };
         let reach = reach.min(self.set.limits.max_retry_after as f64);
         c.promises.retain(|&p| p > now);
@@ -651,33 +624,18 @@
         if kind == ListKind::Lost {
             return;
         }
-        if kind != ListKind::Changes {
-            self.servers.values_mut().for_each(|s| (s.listed, s.gone) = (false, true));
-        }
-        for m in entries {
-            // Danger: a whole request for free at each of a hundred nodes pushes a cold server over at once.
-            let slow = Bucket { store: lot(&mut self.random), at: now };
-            let (started, latency) = (m.started, self.latency);
-            let new = || Server { started, latency, heard: now, slow, ..Server::default() };
-            let s = self.servers.entry(m.server).or_insert_with(new);
-            (s.zone, s.cell) = (m.zone, m.cell);
-            s.size = if m.weight.is_finite() && m.weight > 0.0 { m.weight } else { 1.0 };
-            s.listed = m.state == MemberState::In;
-            s.gone = m.state == MemberState::Out;
-            if m.started > s.started {
-                (s.started, s.strikes, s.breaks, s.ejected) = (m.started, 0, 0, 0);
-                (s.slow, s.latency) = (slow, self.latency);
-            }
-        }
+        // Danger: a whole request for free at each of a hundred nodes pushes a cold server over at once.
+        let mut slow = || Bucket { store: lot(&mut self.random), at: now };
+        let entries = entries.into_iter().map(|m| (m, slow())).collect();
+        self.servers.take(kind != ListKind::Changes, entries, self.latency);
         self.forget();
     }
 
-    /// Danger: app servers and customers are ever new, and what is kept of each grows without end. A server
-    /// goes once it is removed and nothing is out there, a customer once its bucket must be full again and
-    /// its lease is handed back: a new one is told the same by the counter.
+    /// Danger: customers are ever new, and what is kept of each grows without end. One goes once its bucket
+    /// must be full again and its lease is handed back: a new one is told the same by the counter.
     fn forget(&mut self) {
         let now = self.now;
-        self.servers.retain(|_, s| !s.gone || !s.out.is_empty());
+        self.servers.forget(now);
         let full = |c: &Customer| {
             let plan = self.set.plans.get(c.plan).filter(|p| p.quota_rate > 0.0);
             plan.map_or(0, |p| (p.burst / p.quota_rate * 1e6) as Micros).max(FORGET)
@@ -687,32 +645,13 @@
         self.customers.retain(|_, c| !(idle(c) && over(c)));
     }
 
-    /// The servers that this node sends to: deterministic subsetting. Danger: at a hundred nodes each would
-    /// meet every server so seldom that it pays for a handshake each time and learns of each only by being
-    /// harmed. The ids, in the same order at all nodes, are shared out by the nodes' numbers, so that each
-    /// server is in as many subsets as any other. The next ones stand in for those that are ejected.
-    fn subset(&self) -> Vec<ServerId> {
-        let listed: Vec<_> = self.servers.iter().filter(|(_, s)| s.listed).collect();
-        let nodes = self.set.nodes.max(1) as usize;
-        let most = (listed.len() * COVER).div_ceil(nodes).max(SUBSET_LEAST);
-        let first = self.set.me as usize * listed.len() / nodes;
-        let round = listed.iter().cycle().skip(first).take(listed.len());
-        round.filter(|(_, s)| s.ejected <= self.now).take(most).map(|(&key, _)| key).collect()
-    }
-
-    /// What this node sends a second to a warm server, in the mean.
-    fn per_server(&self, subset: &[ServerId]) -> f64 {
-        let warm: f64 = subset.iter().filter_map(|k| self.servers.get(k)).map(|s| self.warmth(s)).sum();
-        self.sends.get(self.now, RATE_SPAN) / warm.max(1.0)
-    }
-
     /// The share of its capacity that a server surely has by now.
     fn warmth(&self, s: &Server) -> f64 {
         let rules = &self.set.rules;
-        if s.started == 0 || rules.cold == 0 {
+        if s.told.started == 0 || rules.cold == 0 {
             return 1.0;
         }
-        let age = self.now.saturating_sub(s.started) as f64 / rules.cold as f64;
+        let age = self.now.saturating_sub(s.told.started) as f64 / rules.cold as f64;
         let pace = if s.latency < self.latency { COLD_PACE } else { 1.0 };
         (pace * (rules.cold_from + (1.0 - rules.cold_from) * age)).min(1.0)
     }
@@ -730,6 +669,11 @@
         since > self.overdue() * if s.out.len() > 2 { 1.0 } else { 2.0 }
     }
 
+    /// Whether overload is judged by a server.
+    fn answers(&self, s: &Server) -> bool {
+        s.told.state == MemberState::In && s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s)
+    }
+
     /// How many attempts a server is at. Danger: what hung before the last ejection, and what got lost while
     /// later attempts were answered, stays out until its client gives up; one or two look like a full fleet.
     /// It does harm where single requests work for much longer than others: these are not seen.
@@ -738,33 +682,54 @@
         s.out.iter().filter(|&&sent| sent >= s.ejected && sent >= lost).count()
     }
 
-    /// The server where an attempt should do best, or none that may take it.
-    fn choose(&mut self, id: &RequestId, not: Option<ServerId>) -> Option<ServerId> {
+    /// The server where an attempt should do best, if any may take it, and what it may be sent a second.
+    /// A node sends to a part of the servers: deterministic subsetting. Danger: at a hundred nodes each would
+    /// meet every server so seldom that it pays for a handshake each time and learns of each only by being
+    /// harmed. The ids, in the same order at all nodes, are shared out by the nodes' numbers, so that each
+    /// server is in as many subsets as any other. The next ones stand in for those that are ejected.
+    fn choose(&mut self, id: &RequestId, not: Option<ServerId>) -> Option<(ServerId, f64)> {
         let r = self.requests.get(id)?;
         let class = &self.set.classes[r.class];
-        let bound = r.ran.map(|(_, place)| place);
-        let subset = self.subset();
-        let per_server = self.per_server(&subset);
-        let safe = class.effect == Effect::Safe;
+        let (safe, by_cell) = (class.effect == Effect::Safe, class.group == Group::Cell);
+        let ran = r.ran.filter(|_| class.effect == Effect::Keyed && class.group != Group::All);
+        let bound = ran.map(|(_, (zone, cell))| if by_cell { cell } else { zone });
+        let (listed, nodes) = (self.servers.ring.len(), self.set.nodes.max(1) as usize);
+        let most = (listed * COVER).div_ceil(nodes).max(SUBSET_LEAST);
+        let first = self.set.me as usize * listed / nodes % listed.max(1);
+        let round = (first..first + listed).map(|place| self.servers.at(place)).enumerate();
+        let subset = round.filter(|(_, s)| s.ejected <= self.now).take(most);
+        let (reach, warm) = subset.fold((0, 0.0), |(_, warm), (n, s)| (n + 1, warm + self.warmth(s)));
+        let inside = |place: usize| (place + listed - first) % listed < reach;
+        // What this node sends a second to a warm server, in the mean.
+        let per_server = self.sends.get(self.now, RATE_SPAN) / f64::max(warm, 1.0);
         // Danger: a node with next to nothing out would always take the largest server. The less its own
         // counts tell, the more the lot decides: exponential, so that servers are drawn by their size.
-        let (mut held, mut listed) = (0, 0);
-        self.servers
-            .values()
-            .for_each(|s| (held, listed) = (held + s.out.len(), listed + usize::from(s.listed)));
-        let blind = 1.0 / (1.0 + SEEN * held as f64 / listed.max(1) as f64);
+        let blind = 1.0 / (1.0 + SEEN * self.servers.out as f64 / listed.max(1) as f64);
         let now = self.now;
         let common = |kind| (kind, self.tally.get(&kind).map_or(0.0, |t| t.mean(now, 0.0, TALLY_SPAN)));
         let kinds = [r.class, self.set.classes.len() + r.plan, LOST].map(common);
         let failing = kinds.iter().any(|k| k.1 > 0.01);
-        let mut best: Option<((bool, bool, bool, f64), ServerId)> = None;
-        for (&key, s) in &self.servers {
-            let in_group = match (class.effect, class.group, bound) {
-                (Effect::Keyed, Group::Zone, Some((zone, _))) => s.zone == zone,
-                (Effect::Keyed, Group::Cell, Some((_, cell))) => s.cell == cell,
-                _ => true,
+        let mut best: Option<((bool, bool, bool, f64), _)> = None;
+        let mut looks = VecDeque::from_iter(if listed <= LOOKS { 0..listed } else { first..first + reach });
+        let mut rest = listed - looks.len();
+        loop {
+            let Some(place) = looks.pop_front() else {
+                // Danger: neighbours on the ring fall together. So where nobody in the subset is open, some
+                // all round it are looked at; for a repeat that is bound to a group all of that.
+                if std::mem::take(&mut rest) == 0 || best.is_some_and(|((closed, ..), _)| !closed) {
+                    break;
+                }
+                let step = (listed - reach).div_ceil(LOOKS);
+                let from = reach + (lot(&mut self.random) * step as f64) as usize;
+                looks = match bound {
+                    Some(group) => self.servers.group(by_cell, group).filter(|&k| !inside(k)).collect(),
+                    None => (from..listed).step_by(step).map(|k| first + k).collect(),
+                };
+                continue;
             };
-            if !s.listed || !in_group || Some(key) == not {
+            let s = self.servers.at(place);
+            let group = if by_cell { s.told.cell } else { s.told.zone };
+            if bound.is_some_and(|bound| bound != group) || Some(s.told.server) == not {
                 continue;
             }
             let warmth = self.warmth(s);
@@ -775,7 +740,7 @@
             if warmth < 1.0 && s.slow.store + per_server * warmth * span < 1.0 {
                 continue;
             }
-            let near = subset.contains(&key);
+            let near = s.ejected <= self.now && inside(place);
             let due = near && warmth < 1.0 && s.strikes == 0;
             let closed = s.ejected > self.now || self.silent(s);
             if !closed && s.strikes > 0 && (!safe || s.out.back().is_some_and(|&sent| sent >= s.ejected)) {
@@ -784,24 +749,23 @@
             let load = s.out.iter().filter(|&&sent| sent >= s.ejected).count() as f64;
             let slowness = (s.latency / self.latency).clamp(0.25, 4.0);
             let lot = -(1.0 - lot(&mut self.random)).ln();
-            let cost = slowness * (load + 1.0 - blind + blind * lot) / (s.size * warmth.max(0.05));
-            let far = if s.zone == self.set.zone { 1.0 } else { 1.0 + 2.0 * self.set.cross_zone_price };
-            let share = |t: &Tally, prior| t.mean(now, prior, TALLY_SPAN);
-            let risk = |(kind, prior)| s.tally.get(&kind).map_or(prior, |t| share(t, prior));
+            let cost = slowness * (load + 1.0 - blind + blind * lot) / (s.told.weight * warmth.max(0.05));
+            let far = if s.told.zone == self.set.zone { 1.0 } else { 1.0 + 2.0 * self.set.cross_zone_price };
+            let risk = |(kind, prior)| s.tally.get(&kind).map_or(prior, |t| t.mean(now, prior, TALLY_SPAN));
             let [class, plan, lost] = if failing { kinds.map(risk) } else { [0.0; 3] };
             // Where a node always has work out at a server, silence shows by itself.
             let fails = class.max(plan).max(lost * (2.0 * blind).min(1.0));
             let cost = cost * far * (1.0 + FAIL_COST * fails).powi(2);
             let order = (closed, !near, !due, cost);
             if best.is_none_or(|(b, _)| order < b) {
-                best = Some((order, key));
+                best = Some((order, (s.told.server, per_server * warmth)));
             }
         }
-        best.map(|(_, key)| key)
+        best.map(|(_, to)| to)
     }
 
     fn strike(&mut self, key: ServerId) {
-        let Some(s) = self.servers.get_mut(&key).filter(|s| s.ejected <= self.now) else { return };
+        let Some(s) = self.servers.get_mut(key).filter(|s| s.ejected <= self.now) else { return };
         s.ejected = self.now + (EJECT << s.strikes.min(8)).min(EJECT_MAX);
         s.strikes += 1;
     }
@@ -810,39 +774,28 @@
 
     fn launch(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         match self.choose(id, None) {
-            Some(server) => self.send(id, server, out),
+            Some(to) => self.send(id, to, out),
             None => self.parked.push_back(id.clone()),
         }
     }
 
-    fn send(&mut self, id: &RequestId, server: ServerId, out: &mut Vec<Action>) {
+    fn send(&mut self, id: &RequestId, (server, rate): (ServerId, f64), out: &mut Vec<Action>) {
         let now = self.now;
-        let Some(r) = self.requests.get_mut(id) else { return };
+        let (Some(r), Some(s)) = (self.requests.get_mut(id), self.servers.sent(server, now)) else { return };
+        s.slow.refill(now, rate, 1.5);
+        s.slow.store -= 1.0;
         let first = r.attempts.is_empty();
         self.retries = (self.retries + if first { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
-        let place = self.servers.get(&server).map_or((0, 0), |s| (s.zone, s.cell));
-        r.attempts.push(Attempt { server, place, sent: now, out: true });
-        if let Some(c) = self.customers.get_mut(&r.customer) {
-            c.open += 1;
-        }
-        let per_server = self.per_server(&self.subset());
+        r.attempts.push(Attempt { server, place: (s.told.zone, s.told.cell), sent: now, out: true });
+        self.customers.entry(r.customer).and_modify(|c| c.open += 1);
         self.sends.add(now, 1.0, RATE_SPAN);
-        let warmth = self.servers.get(&server).map_or(1.0, |s| self.warmth(s));
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.out.push_back(now);
-            s.slow.refill(now, per_server * warmth, 1.5);
-            s.slow.store -= 1.0;
-        }
         out.push(Action::Send { id: id.clone(), server, timeout: 0 });
     }
 
     fn on_ended(&mut self, end: Ended, out: &mut Vec<Action>) {
         let (now, overdue) = (self.now, self.overdue());
         let Some(r) = self.requests.get_mut(&end.id) else { return };
-        let Some(a) = r.attempts.get_mut(end.attempt as usize) else { return };
-        if !a.out {
-            return;
-        }
+        let Some(a) = r.attempts.get_mut(end.attempt as usize).filter(|a| a.out) else { return };
         a.out = false;
         let (server, sent, place) = (a.server, a.sent, a.place);
         let may_have_run = !matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Ignored);
@@ -850,31 +803,20 @@
             r.ran = Some((sent, place));
         }
         r.answered |= end.finished;
-        if let Some(c) = self.customers.get_mut(&r.customer) {
-            c.open = c.open.saturating_sub(1);
-        }
-        let mut unknown = Server::default();
-        let s = self.servers.get_mut(&server).unwrap_or(&mut unknown);
-        if let Some(i) = s.out.iter().position(|&t| t == sent) {
-            s.out.remove(i);
-        }
+        self.customers.entry(r.customer).and_modify(|c| c.open = c.open.saturating_sub(1));
+        let Some(s) = self.servers.ended(server, sent) else { return };
         // Danger: servers that fail one class, or turn one plan away, and serve the rest. They are passed
         // over for that kind alone, by what else is known of it (outlier ejection by success rate).
-        let bad = matches!(end.outcome, Outcome::Error | Outcome::Full);
-        if bad || end.outcome == Outcome::Ok {
-            let bad = if bad { 1.0 } else { 0.0 };
-            for kind in [r.class, self.set.classes.len() + r.plan] {
-                s.tally.entry(kind).or_default().add(now, bad, TALLY_SPAN);
-                self.tally.entry(kind).or_default().add(now, bad, TALLY_SPAN);
-            }
-        }
+        let (ok, bad) = (end.outcome == Outcome::Ok, matches!(end.outcome, Outcome::Error | Outcome::Full));
         // Danger: servers that lose part of what they take and answer the rest. An answer clears all strikes,
         // and a node that meets each server seldom would learn of each loss anew.
         let unanswered = matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
         let lost = unanswered && s.heard < sent && end.spent as f64 > overdue;
-        if lost || end.outcome == Outcome::Ok {
-            s.tally.entry(LOST).or_default().add(now, f64::from(u8::from(lost)), TALLY_SPAN);
-            self.tally.entry(LOST).or_default().add(now, f64::from(u8::from(lost)), TALLY_SPAN);
+        let kinds = [(r.class, bad), (self.set.classes.len() + r.plan, bad), (LOST, lost)];
+        for (kind, failed) in kinds.into_iter().filter(|&(_, failed)| failed || ok) {
+            for tally in [&mut s.tally, &mut self.tally] {
+                tally.entry(kind).or_default().add(now, f64::from(u8::from(failed)), TALLY_SPAN);
+            }
         }
         let quiet = s.heard < sent && sent >= s.ejected;
         // Danger: connections that break at all servers alike (a lossy network, servers that close idle ones
@@ -948,11 +890,8 @@
         let Some(r) = self.requests.get(id) else { return };
         let class = &self.set.classes[r.class];
         let ran = r.ran.is_some() || r.attempts.iter().any(|a| a.out);
-        let harmless = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => !ran || class.group == Group::All,
-            Effect::Unsafe => !ran,
-        };
+        let dropped = class.effect == Effect::Keyed && class.group == Group::All;
+        let harmless = !ran || dropped || class.effect == Effect::Safe;
         if harmless {
             self.refuse(id, 0, out);
         } else {
@@ -984,8 +923,7 @@
     fn on_tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { id: 0, after: TICK });
         let now = self.now;
-        let ok = |s: &Server| s.listed && s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s);
-        let held: usize = self.servers.values().filter(|s| ok(s)).map(|s| self.working(s)).sum();
+        let held: usize = self.servers.met().filter(|s| self.answers(s)).map(|s| self.working(s)).sum();
         self.held += (held as f64 - self.held) * HELD_GAIN;
         for id in std::mem::take(&mut self.parked) {
             let Some(r) = self.requests.get(&id) else { continue };
@@ -998,7 +936,7 @@
             }
         }
         self.rescue(out);
-        let silent: Vec<_> = self.servers.iter().filter(|(_, s)| self.silent(s)).map(|(&k, _)| k).collect();
+        let silent: Vec<_> = self.servers.met().filter(|s| self.silent(s)).map(|s| s.told.server).collect();
         silent.into_iter().for_each(|key| self.strike(key));
         if now >= self.swept + SWEEP {
             self.swept = now;
@@ -1026,7 +964,7 @@
         for (id, r) in &self.requests {
             let mut flying = r.attempts.iter().enumerate().filter(|(_, a)| a.out);
             let (Some((n, a)), None) = (flying.next(), flying.next()) else { continue };
-            let silent = self.servers.get(&a.server).is_some_and(|s| self.silent(s) || s.ejected > self.now);
+            let silent = self.servers.get(a.server).is_some_and(|s| self.silent(s) || s.ejected > self.now);
             let age = self.now.saturating_sub(a.sent) as f64;
             if silent && age > self.overdue() && self.set.limits.cancel && self.may_resend(id) {
                 late.push((id.clone(), n as u32, a.server));
@@ -1064,11 +1002,8 @@
     /// none out, and one alone would look like a full fleet. So the mean of recent answers weighs as much as
     /// `EVIDENCE` requests out; with no answers it is forgotten.
     fn expected(&self) -> f64 {
-        let mut rate = 0.0;
-        let ok = |s: &Server| s.listed && s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s);
-        for s in self.servers.values().filter(|s| ok(s)) {
-            rate += s.done.get(self.now, DONE_SPAN);
-        }
+        let answering = self.servers.met().filter(|s| self.answers(s));
+        let rate: f64 = answering.map(|s| s.done.get(self.now, DONE_SPAN)).sum();
         let mean = self.times.mean(self.now, self.shortest_aim() * SHED_CHEAPEST / 2.0, MEAN_SPAN);
         let age = 1.0 - (-(self.now.saturating_sub(self.begun) as f64) / DONE_SPAN).exp();
         let rate = (rate > 0.0).then_some(rate / age.max(1e-3) + EVIDENCE * 1e6 / mean.max(1.0));
@@ -1127,7 +1062,8 @@
     let delta = total - last.filter(|_| !fallen).unwrap_or(total - amount);
     let others = (delta - amount - call.told).max(0.0);
     c.others.add(now, others, RATE_SPAN);
-    let level = plan.burst + plan.quota_rate * secs(window_start(key, window)) - total;
+    let start = (window * WINDOW).saturating_sub(mix(key.0) % WINDOW);
+    let level = plan.burst + plan.quota_rate * secs(start) - total;
     // Danger: a total that fell (flushed, or empty after a restart) tells nothing of the past. The level is
     // carried on, less what the others draw; under a hard ceiling always, since no total may grant a burst
     // twice.
@@ -1168,10 +1104,6 @@
     (now + mix(key.0) % WINDOW) / WINDOW
 }
 
-fn window_start(key: CustomerId, window: u64) -> Micros {
-    (window * WINDOW).saturating_sub(mix(key.0) % WINDOW)
-}
-
 fn count_name(key: CustomerId, window: u64) -> CountName {
     CountName(mix(mix(key.0) ^ window.wrapping_mul(GOLDEN)) >> 1)
 }
--- /dev/null
+++ b/src/control/roster.rs
@@ -0,0 +1,178 @@
+//! The app servers that a node knows, with one owner: in order, met ones, totals. Danger: what looks through
+//! all for each request or tick grows with the fleet: with some ten thousand a node can't serve at all.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use super::{Bucket, Rate, Tally, DONE_SPAN};
+use crate::interface::*;
+
+/// A list of up to so many servers is looked through whole for an attempt: some microseconds. Of a longer one
+/// it is the subset and, where nobody there is open, so many of the rest: the best of them is in the best
+/// fiftieth but once in a hundred times. So many servers met are never forgotten, too.
+pub(super) const LOOKS: usize = 256;
+
+#[derive(Default)]
+pub(super) struct Server {
+    /// What the list told last, but for the latest start.
+    pub told: Member,
+    /// When the attempts that are out were sent. The roster alone changes it.
+    pub out: VecDeque<Micros>,
+    pub latency: f64,
+    pub done: Rate,
+    /// How attempts ended, by kind: class or plan.
+    pub tally: BTreeMap<usize, Tally>,
+    pub heard: Micros,
+    /// When the latest of the attempts was sent that it has answered.
+    pub answered: Micros,
+    pub strikes: u32,
+    /// Connections to it that broke under a request since its last answer.
+    pub breaks: u32,
+    pub ejected: Micros,
+    pub slow: Bucket,
+}
+
+impl Server {
+    fn groups(&self) -> [(bool, u32, ServerId); 2] {
+        [(false, self.told.zone, self.told.server), (true, self.told.cell, self.told.server)]
+    }
+}
+
+#[derive(Default)]
+pub(super) struct Roster {
+    slots: Vec<Server>,
+    free: Vec<usize>,
+    /// The slots of listed servers in the order of their ids, the same at all nodes; and of the others.
+    pub ring: Vec<(ServerId, usize)>,
+    pub off: BTreeMap<ServerId, usize>,
+    /// Those that share their work by zone or by cell, if any class asks for it.
+    groups: BTreeSet<(bool, u32, ServerId)>,
+    grouped: [bool; 2],
+    /// Those with something out or a rate of answers.
+    met: BTreeMap<ServerId, usize>,
+    /// How many attempts are out.
+    pub out: usize,
+    pub looked: Cell<u64>,
+    pub touched: u64,
+}
+
+impl Roster {
+    pub fn new(classes: &[Class]) -> Self {
+        let keyed = |group| classes.iter().any(|c| c.effect == Effect::Keyed && c.group == group);
+        Roster { grouped: [keyed(Group::Zone), keyed(Group::Cell)], ..Roster::default() }
+    }
+
+    /// The listed server at this place; the ring goes round.
+    pub fn at(&self, place: usize) -> &Server {
+        self.looked.set(self.looked.get() + 1);
+        &self.slots[self.ring[place % self.ring.len()].1]
+    }
+
+    pub fn met(&self) -> impl Iterator<Item = &Server> {
+        self.looked.set(self.looked.get() + self.met.len() as u64);
+        self.met.values().map(|&slot| &self.slots[slot])
+    }
+
+    /// The places of a zone's or a cell's listed servers.
+    pub fn group(&self, cell: bool, number: u32) -> impl Iterator<Item = usize> + '_ {
+        let all = (cell, number, ServerId(0))..=(cell, number, ServerId(u64::MAX));
+        self.groups.range(all).filter_map(|e| self.ring.binary_search_by_key(&e.2, |e| e.0).ok())
+    }
+
+    fn slot(&self, id: ServerId) -> Option<usize> {
+        let place = self.ring.binary_search_by_key(&id, |e| e.0);
+        place.map_or_else(|_| self.off.get(&id).copied(), |place| Some(self.ring[place].1))
+    }
+
+    pub fn get(&self, id: ServerId) -> Option<&Server> {
+        self.slot(id).map(|slot| &self.slots[slot])
+    }
+
+    pub fn get_mut(&mut self, id: ServerId) -> Option<&mut Server> {
+        self.slot(id).map(|slot| &mut self.slots[slot])
+    }
+
+    pub fn sent(&mut self, id: ServerId, now: Micros) -> Option<&mut Server> {
+        let slot = self.slot(id)?;
+        self.met.insert(id, slot);
+        self.out += 1;
+        self.slots[slot].out.push_back(now);
+        self.slots.get_mut(slot)
+    }
+
+    pub fn ended(&mut self, id: ServerId, sent: Micros) -> Option<&mut Server> {
+        let slot = self.slot(id)?;
+        let nth = self.slots[slot].out.iter().position(|&t| t == sent)?;
+        self.out -= 1;
+        self.slots[slot].out.remove(nth);
+        self.slots.get_mut(slot)
+    }
+
+    /// Takes list entries in one pass in the order of ids, each with the bucket of a new or restarted server.
+    /// What is as it was is left alone. What a whole list does not name has gone.
+    pub fn take(&mut self, whole: bool, mut entries: Vec<(Member, Bucket)>, latency: f64) {
+        // An id that comes twice stays in its order: the later entry counts.
+        entries.sort_by_key(|(m, _)| m.server);
+        if whole {
+            let known =
+                self.ring.iter().map(|e| e.1).chain(self.off.values().copied()).map(|k| &self.slots[k]);
+            let named = |s: &&Server| entries.binary_search_by_key(&s.told.server, |e| e.0.server).is_ok();
+            let gone = |s: &Server| (Member { state: MemberState::Out, ..s.told.clone() }, s.slow);
+            let gone: Vec<_> = known.filter(|s| !named(s)).map(gone).collect();
+            entries.extend(gone);
+            entries.sort_by_key(|(m, _)| m.server);
+        }
+        let first = entries.first().map_or(ServerId(u64::MAX), |(m, _)| m.server);
+        let old = self.ring.split_off(self.ring.partition_point(|e| e.0 < first));
+        let mut old = &old[..];
+        for (mut m, slow) in entries {
+            let (before, after) = old.split_at(old.iter().take_while(|e| e.0 <= m.server).count());
+            self.ring.extend_from_slice(before);
+            old = after;
+            let listed = self.ring.last().is_some_and(|e| e.0 == m.server);
+            let known = if listed { self.ring.pop().map(|e| e.1) } else { self.off.remove(&m.server) };
+            let slot = known.or_else(|| self.free.pop()).unwrap_or(self.slots.len());
+            self.slots.resize_with(self.slots.len().max(slot + 1), Server::default);
+            let s = &mut self.slots[slot];
+            if known.is_none() {
+                *s = Server { told: m.clone(), latency, heard: slow.at, slow, ..Server::default() };
+            }
+            m.weight = if m.weight.is_finite() && m.weight > 0.0 { m.weight } else { 1.0 };
+            if m.started > s.told.started {
+                (s.strikes, s.breaks, s.ejected, s.slow, s.latency) = (0, 0, 0, slow, latency);
+            }
+            m.started = m.started.max(s.told.started);
+            let told = |m: &Member| (m.zone, m.cell, m.weight, m.state, m.started);
+            if known.is_none() || told(&m) != told(&s.told) {
+                self.touched += 1;
+                s.groups().iter().for_each(|group| _ = self.groups.remove(group));
+                s.told = m;
+                let asked = |group: &(bool, u32, ServerId)| self.grouped[usize::from(group.0)];
+                self.groups.extend(s.groups().into_iter().filter(asked));
+            }
+            if s.told.state == MemberState::In {
+                self.ring.push((s.told.server, slot));
+            } else {
+                self.off.insert(s.told.server, slot);
+            }
+        }
+        self.ring.extend_from_slice(old);
+    }
+
+    /// Danger: app servers are ever new, and what is kept of each grows without end. One goes once it is
+    /// removed and nothing is out there. An old rate of answers is lost in rounding when all are added up.
+    pub fn forget(&mut self, now: Micros) {
+        let goes = |s: &Server| s.told.state == MemberState::Out && s.out.is_empty();
+        let gone: Vec<_> = self.off.values().copied().filter(|&slot| goes(&self.slots[slot])).collect();
+        for slot in gone {
+            let s = std::mem::take(&mut self.slots[slot]);
+            s.groups().iter().for_each(|group| _ = self.groups.remove(group));
+            self.off.remove(&s.told.server);
+            self.met.remove(&s.told.server);
+            self.free.push(slot);
+        }
+        let (many, slots) = (self.met.len() > LOOKS, &self.slots);
+        let counts = |s: &Server| !s.out.is_empty() || s.done.get(now, DONE_SPAN) > 1e-20;
+        self.met.retain(|_, slot| !many || counts(&slots[*slot]));
+    }
+}
