Test that nothing is sent on for clients that have left, wherever it waits

A client that has closed is gone, and nothing may be begun for it more than 0.1 s later. Tests forced this only where a request waits for the counter or for a connection that comes up. Now also: a further attempt with nothing, a whole request and half a head behind the first; a descriptor; the backlog of a node with none left; a parked request and a slow body. The node's closing of its own side shows that it has noticed.

Seen to fail: with waiting attempts not called back (descriptor, connection, backlog); with no look for the close behind bytes (further attempt, counter); with all three guards against a further attempt taken out, the event, the check at sending and the end's 'finished' (further attempt). Not seen to fail by one break of the code: the parked request, which is guarded twice.

--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -580,6 +580,11 @@
         self.raw(&ask.text());
     }
 
+    /// Sends nothing more; the connection stays open for what comes.
+    pub fn half_close(&mut self) {
+        self.stream.shutdown(std::net::Shutdown::Write).expect("an open connection");
+    }
+
     /// Waits for the connection's end; what still came before.
     pub fn rest(mut self) -> String {
         let mut rest = Vec::new();
--- a/tests/leave.rs
+++ b/tests/leave.rs
@@ -30,7 +30,7 @@
 #[test]
 fn a_client_that_leaves_behind_bytes_of_a_next_request_is_noticed() {
     // Danger: the end of its connection lies behind bytes that nobody reads until the request has its answer.
-    for behind in [30, 60_000] {
+    for behind in [0, 30, 60_000] {
         let (app, counts) = (App::new(), Counts::new());
         let mut config = config(&[entry("s-1", app.address, "a", "up")]);
         config["counter"] = json!(counts.address.to_string());
@@ -73,6 +73,133 @@
     app.no_request();
 }
 
+/// Leaves in order and waits until the node has noticed: until it has closed its side, too.
+fn leave(mut client: Client) {
+    client.half_close();
+    assert_eq!(client.rest(), "");
+}
+
+#[test]
+fn no_further_attempt_begins_for_a_client_that_has_closed_whatever_lies_behind_its_request() {
+    let behind = ["".to_string(), ask("lookup", "behind").text(), ask("post", "behind").text()[..40].into()];
+    for (number, behind) in behind.into_iter().enumerate() {
+        let (a, b) = (App::new(), App::new());
+        let entries = [entry("s-1", a.address, "a", "up"), entry("s-2", b.address, "a", "up")];
+        let edge = Edge::new(&config(&entries));
+        let mut client = edge.client();
+        client.raw(&format!("{}{behind}", ask("lookup", "first").text()));
+        let (_, seen) = next_of(&[&a, &b]);
+        leave(client);
+        // The app server has never run it, so it would go to the other one.
+        seen.answer("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
+        let mut other = edge.client();
+        for turn in 0..4 {
+            let id = format!("later-{turn}");
+            other.ask(&ask("lookup", &id));
+            let (_, seen) = next_of(&[&a, &b]);
+            assert_eq!(seen.id(), id, "row {number}");
+            seen.answer("200 OK", "", "ok");
+            assert_eq!(other.answer().status(), 200);
+        }
+    }
+}
+
+#[test]
+fn what_waits_for_a_descriptor_is_not_sent_once_its_client_has_left() {
+    let (old, app, lists) = (App::new(), App::new(), Lists::new());
+    let mut config = config(&[entry("s-1", old.address, "a", "up")]);
+    config["discovery"] = json!(lists.address.to_string());
+    config["settings"]["bounds"]["connect_timeout"] = json!(60_000_000);
+    // Room for sixteen connections, nine of them clients'.
+    config["limits"]["sockets"] = json!(40);
+    let edge = Edge::new(&config);
+    // What has begun goes on without its client, and holds a descriptor.
+    let long = |id: &str| Ask { deadline_ms: 600_000, ..ask("post", id) };
+    let mut held = Vec::new();
+    for number in 0..13 {
+        let mut client = edge.client();
+        client.ask(&Ask { class: "lookup", ..long(&format!("held-{number}")) });
+        held.push(old.next());
+        leave(client);
+    }
+    lists.push(entry("s-2", app.address, "a", "up"));
+    lists.push(entry("s-1", old.address, "a", "draining"));
+    // Two clients take the next two, and the listener keeps the last for whoever comes. Neither client is ever
+    // idle: that would make room for the first one's attempt.
+    let (mut first, mut second) = (edge.client(), edge.client());
+    first.ask(&long("first"));
+    second.raw(&format!("{}{}", long("first").text(), long("second").text()));
+    assert_eq!(second.answer().status(), 409, "the first one's request is in work");
+    leave(first);
+    // Its descriptor comes free, and the attempt behind its own gets it.
+    let seen = app.next();
+    assert_eq!(seen.id(), "second");
+    seen.answer("200 OK", "", "second");
+    assert_eq!(second.answer().body, b"second");
+    app.no_request();
+}
+
+#[test]
+fn what_lay_in_the_backlog_when_its_client_left_is_not_sent() {
+    let app = App::new();
+    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+    config["settings"]["bounds"]["connect_timeout"] = json!(60_000_000);
+    config["limits"]["sockets"] = json!(40);
+    let edge = Edge::new(&config);
+    let mut busy: Vec<Client> = (0..9).map(|_| edge.client()).collect();
+    for (number, client) in busy.iter_mut().enumerate() {
+        client.ask(&Ask { deadline_ms: 600_000, ..ask("post", &format!("p-{number}")) });
+    }
+    let held: Vec<Seen> = (0..7).map(|_| app.next()).collect();
+    // No descriptor is left for these. The first has gone before the node takes it in.
+    let (mut gone, mut stays) = (edge.client(), edge.client());
+    // With no body it is whole as soon as its head is read.
+    gone.ask(&Ask { deadline_ms: 600_000, ..ask("lookup", "gone") });
+    drop(gone);
+    stays.ask(&Ask { deadline_ms: 600_000, ..ask("post", "stays") });
+    held.into_iter().for_each(|seen| seen.answer("200 OK", "", "ok"));
+    loop {
+        let seen = app.next();
+        assert_ne!(seen.id(), "gone");
+        let last = seen.id() == "stays";
+        seen.answer("200 OK", "", "ok");
+        if last {
+            break;
+        }
+    }
+    assert_eq!(stays.answer().status(), 200);
+    app.no_request();
+}
+
+#[test]
+fn what_is_parked_or_half_sent_is_not_sent_on_once_its_client_has_left() {
+    let (app, lists) = (App::new(), Lists::new());
+    let mut config = config(&[]);
+    config["discovery"] = json!(lists.address.to_string());
+    let edge = Edge::new(&config);
+    lists.watched();
+    // A body that lacks a byte.
+    let mut slow = edge.client();
+    let text = ask("post", "slow").text();
+    slow.raw(&text[..text.len() - 1]);
+    slow.half_close();
+    // Only now: the node has closed its side.
+    slow.rest();
+    // No app server is known, so it is parked.
+    let request = Ask { deadline_ms: 600_000, ..ask("post", "p-1") };
+    let mut client = edge.client();
+    client.ask(&request);
+    let mut other = edge.client();
+    other.ask(&request);
+    assert_eq!(other.answer().status(), 409);
+    drop(client);
+    let mut second = until_forgotten(&edge, &request);
+    lists.push(entry("s-1", app.address, "a", "up"));
+    app.next().answer("200 OK", "", "second");
+    assert_eq!(second.answer().body, b"second");
+    app.no_request();
+}
+
 /// An app server whose machine takes no further connection until it accepts.
 struct FullApp {
     address: SocketAddr,
