Test that idle clients who fill the descriptors keep out neither discovery nor the counter

While both are down many more idle clients than descriptors come and rest, and requests are held. Both come back and are heard, a request on a connection that still rests is served under a quota, and so are those held. Nodes under test now get their descriptors' limit from the machine itself, for all tests.

--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -214,6 +214,28 @@
     panic!("no request in time");
 }
 
+/// A peer that is down: connections to it are refused until it comes back.
+pub struct Down {
+    pub address: SocketAddr,
+    socket: tokio::net::TcpSocket,
+}
+
+impl Down {
+    pub fn new() -> Down {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        Down { address: socket.local_addr().expect("an address"), socket }
+    }
+
+    pub fn comes_back(self) -> TcpListener {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
+        let listener = runtime.block_on(async { self.socket.listen(64).and_then(|l| l.into_std()) });
+        let listener = listener.expect("a listener");
+        listener.set_nonblocking(false).expect("a listener");
+        listener
+    }
+}
+
 /// An address where connections are refused. Danger: a port that is given up may be another test's the next
 /// moment, which would get this one's calls. So it stays bound, for as long as the tests run, and nobody listens.
 pub fn nobody() -> SocketAddr {
@@ -380,7 +402,10 @@
 
 impl Counts {
     pub fn new() -> Counts {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Counts::on(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    pub fn on(listener: TcpListener) -> Counts {
         let address = listener.local_addr().expect("an address");
         let (sender, calls) = channel();
         spawn(move || {
@@ -476,7 +501,10 @@
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("pinerelay-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("a file");
-    let child = Command::new(env!("CARGO_BIN_EXE_pinerelay"))
+    // The machine itself holds the node to its descriptors.
+    let limited = format!("ulimit -n {}; exec {}", sockets_of(config), env!("CARGO_BIN_EXE_pinerelay"));
+    let child = Command::new("sh")
+        .args(["-c", &limited])
         .env("PROXY_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
@@ -484,6 +512,12 @@
     (child, path)
 }
 
+/// How many descriptors a configuration allows; what none of them names is as it is for the tests.
+fn sockets_of(config: &str) -> u64 {
+    let config = serde_json::from_str::<Value>(config).ok();
+    config.and_then(|config| config["limits"]["sockets"].as_u64()).unwrap_or(256)
+}
+
 /// How a node with this configuration ends, and what it says.
 pub fn start_badly(config: &str) -> (ExitStatus, String) {
     let out = launch(config).0.wait_with_output().expect("an end");
