--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -32,10 +32,8 @@
     pub slow: Bucket,
 }
 
-impl Server {
-    fn groups(&self) -> [(bool, u32, ServerId); 2] {
-        [(false, self.told.zone, self.told.server), (true, self.told.cell, self.told.server)]
-    }
+fn groups(m: &Member) -> [(bool, u32, ServerId); 2] {
+    [(false, m.zone, m.server), (true, m.cell, m.server)]
 }
 
 #[derive(Default)]
@@ -145,10 +143,12 @@
             let told = |m: &Member| (m.zone, m.cell, m.weight, m.state, m.started);
             if known.is_none() || told(&m) != told(&s.told) {
                 self.touched += 1;
-                s.groups().iter().for_each(|group| _ = self.groups.remove(group));
-                s.told = m;
-                let asked = |group: &(bool, u32, ServerId)| self.grouped[usize::from(group.0)];
-                self.groups.extend(s.groups().into_iter().filter(asked));
+                let old = groups(&std::mem::replace(&mut s.told, m));
+                if known.is_none() || old != groups(&s.told) {
+                    old.iter().for_each(|group| _ = self.groups.remove(group));
+                    let asked = |group: &(bool, u32, ServerId)| self.grouped[usize::from(group.0)];
+                    self.groups.extend(groups(&s.told).into_iter().filter(asked));
+                }
             }
             if s.told.state == MemberState::In {
                 self.ring.push((s.told.server, slot));
@@ -166,7 +166,7 @@
         let gone: Vec<_> = self.off.values().copied().filter(|&slot| goes(&self.slots[slot])).collect();
         for slot in gone {
             let s = std::mem::take(&mut self.slots[slot]);
-            s.groups().iter().for_each(|group| _ = self.groups.remove(group));
+            groups(&s.told).iter().for_each(|group| _ = self.groups.remove(group));
             self.off.remove(&s.told.server);
             self.met.remove(&s.told.server);
             self.free.push(slot);
