--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -76,6 +76,12 @@
         self.stream.peer_addr().expect("a peer")
     }
 
+    /// Writes the first half of an answer with this body, and leaves it at that.
+    pub fn begin(&mut self, body: &str) {
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        self.stream.write_all(&text.as_bytes()[..text.len() / 2]).expect("the node listens");
+    }
+
     /// Answers, and may go on to.
     pub fn say(&mut self, status: &str, body: &str) {
         let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
