Test that nothing behind a connection's last answer is sent on, and mend a stop test's order

A request that is read behind the last answer of a connection during a stop is not sent on: one that was read ahead, and more than is read ahead. Seen to fail with the answer not marked as the last one.

Both tests now wait until the node says on a connection of its own that it closes; nothing else in them has changed.

--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -156,3 +156,23 @@
     endless.came(head.as_bytes());
     assert!(!endless.begun());
 }
+
+#[test]
+fn a_request_that_is_read_behind_a_connection_s_last_answer_is_not_sent_on() {
+    // One that is read ahead with the first, and more than is read ahead.
+    for copies in [1, 300] {
+        let app = App::new();
+        let edge = Edge::new(&config(&[entry("s-1", app.address, "a", "up")]));
+        let mut client = edge.client();
+        client.ask(&ask("post", "first"));
+        let held = app.next();
+        edge.terminate_and_wait();
+        client.raw(&ask("lookup", "behind").text().repeat(copies));
+        held.answer("200 OK", "", "first");
+        let answer = client.answer();
+        assert_eq!((&answer.body[..], answer.header("connection")), (&b"first"[..], Some("close")));
+        assert_eq!(client.rest(), "");
+        assert!(edge.end().0.success());
+        app.no_request();
+    }
+}
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -567,6 +567,19 @@
         self.signal("TERM");
     }
 
+    /// Tells it to end and waits until it has begun to. Danger: what comes in the same moment as the signal may
+    /// still be answered as if there were none.
+    pub fn terminate_and_wait(&self) {
+        self.terminate();
+        loop {
+            let mut client = self.client();
+            client.raw("GET /up HTTP/1.1\r\nHost: n0\r\n\r\n");
+            if client.answer().header("connection") == Some("close") {
+                return;
+            }
+        }
+    }
+
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -87,7 +87,7 @@
     let mut client = edge.client();
     client.ask(&ask("post", "p-1"));
     let held = app.next();
-    edge.terminate();
+    edge.terminate_and_wait();
     // More than is read ahead, so some of it lies in the socket when the answer has gone out.
     client.raw(&"x".repeat(100_000));
     held.answer("200 OK", "", &"y".repeat(64 * 1024));
