Send on nothing that the end of a stop has answered as failed

At the last moment of a stop what is unanswered fails. Attempts that still waited for a descriptor were told to the decisions as over, but not called back (Node::fail_all, src/net/node.rs): as the clients' connections closed behind their answers, the descriptors came free, and the requests were sent on to app servers. Ruled out: that they were sent before the answers, since until then no descriptor came free.

Now they are called back as for a client that has left. The test fails without it.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -141,7 +141,8 @@
             let waited = self.open.borrow_mut().get_mut(&id).and_then(|o| o.answer.take());
             if let Some(sender) = waited {
                 let _ = sender.send(Answer::Failed);
-                self.event(Event::Gone { id });
+                self.event(Event::Gone { id: id.clone() });
+                self.call_back(&id);
             }
         }
     }
@@ -242,7 +243,7 @@
     }
 
     /// Ends the attempts that still wait for a connection or a descriptor. Danger: these come up at any later
-    /// time, and what nobody waits for would be sent then.
+    /// time, as clients leave at the end of a stop, too, and what nobody waits for would be sent then.
     fn call_back(self: &Rc<Self>, id: &RequestId) {
         let open = self.open.borrow();
         let attempts = open.get(id).into_iter().flat_map(|o| o.attempts.iter().enumerate());
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -145,3 +145,26 @@
     assert_eq!(back, 1.0 - leased);
     assert!(edge.end().0.success());
 }
+
+#[test]
+fn what_a_stop_has_failed_is_not_sent_on_as_descriptors_come_free() {
+    let app = App::new();
+    let mut config = with_deadlines(config(&[entry("s-1", app.address, "a", "up")]), 50_000);
+    config["settings"]["bounds"]["connect_timeout"] = json!(60_000_000);
+    // Room for sixteen connections, nine of them clients': seven attempts get one, two wait.
+    config["limits"]["sockets"] = json!(40);
+    let edge = Edge::new(&config);
+    let mut clients: Vec<Client> = (0..9).map(|_| edge.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.ask(&Ask { deadline_ms: 600_000, ..ask("post", &format!("p-{number}")) });
+    }
+    let _held: Vec<Seen> = (0..7).map(|_| app.next()).collect();
+    edge.terminate();
+    for client in &mut clients {
+        assert_eq!(client.answer().status(), 502);
+    }
+    assert!(edge.end().0.success());
+    // What it sent has come by now: its connections have ended.
+    (0..7).for_each(|_| app.ended());
+    app.no_request();
+}
