Test that many who ask one discovery hear of a change within 6 s, too (fails)

A change counts as told 6 s after discovery had it and could be reached, whatever became of a call. Where all nodes ask one discovery the pause after a failed call grows with the fleet: up to 9 s at first and 18 s later at 120 nodes and more, past 4 s (6 s less the time of an answer) from 27 nodes on. A silent watch is given up after 5 s, and 30 nodes then pause for 0.75 to 2.25 s: asked anew after 6.7 s here. At fault: Pace::new and Pace::pause in src/net/discovery.rs, which know nothing of when the call began.

--- a/tests/told.rs
+++ b/tests/told.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use fakes::*;
-use mountbend::net::discovery::TOLD_AFTER;
+use mountbend::net::discovery::{Pace, FETCH_WAIT, TOLD_AFTER};
 use serde_json::{json, Value};
 
 /// From which version a call watches; none for a call for the whole list.
@@ -94,3 +94,30 @@
         assert_ne!(next.line(), held.line(), "asked on the connection that is silent");
     }
 }
+
+#[test]
+fn however_many_ask_one_discovery_a_failed_call_is_made_again_before_what_it_missed_counts_as_told() {
+    for nodes in [1, 4, 30, 100, 300, 5_700] {
+        for seed in 0..50 {
+            let mut pace = Pace::new(seed, nodes, true);
+            for turn in 0..9 {
+                let pause = pace.pause(false);
+                assert!(pause + FETCH_WAIT <= TOLD_AFTER, "{nodes} nodes, pause {turn}: {pause:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_silent_watch_of_many_that_ask_one_discovery_is_opened_anew_in_time_as_well() {
+    let lists = App::new();
+    let mut config = config(&[]);
+    config["discovery"] = json!(lists.address.to_string());
+    config["settings"]["registry_mode"] = json!("ask");
+    config["settings"]["n_instances"] = json!(30);
+    let _edge = Edge::new(&config);
+    let _held = watch(&lists);
+    let since = Instant::now();
+    let _next = watch(&lists);
+    assert!(since.elapsed() < TOLD_AFTER, "after {:?}", since.elapsed());
+}
