Count a cold server's share by requests, and keep its pace within half its fall multiple

A server that started 4.2 s earlier got 18 to 20 attempts within its worst second, all as cold ones that were due and nearly all from nodes that knew its start, so neither old lists nor attempts as a last choice were it. Most attempts went at 1.5 times its sure share (COLD_PACE), as it answered sooner than the warm ones, which were full. Seven in ten nodes had been killed and were back: the others still reckoned with a rate smoothed over 2 s, up to 27 requests a second beside 6 of those that were back, and the share since the last attempt was counted at the rate of the moment, also for the time before a rise.

At fault: `warmth` (a pace past the fall multiple's room where that is 2), `choose` and `send` (rate times span). Now each request that is passed on adds to what a warm server of the subset was due, and a cold one is due when its part of that makes a whole request; its pace is at most half the fall multiple. Where that is 3 or more the pace is 1.5 as before.

The plain scan of tests/choices.rs follows the same rule; its longest list has 90 events, so that it meets as many cases as before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -64,7 +64,7 @@
 /// often than this; so many always do.
 const BREAK_CHANCE: f64 = 0.01;
 const BREAKS_MOST: u32 = 3;
-/// A cold server no slower than the fleet gets this much over its sure share; far under the fall multiple.
+/// A cold server no slower than the fleet gets this much over its sure share; at most half the fall multiple.
 const COLD_PACE: f64 = 1.5;
 /// How many nodes share a server at least: enough that their loads even out. And how many servers a node uses
 /// at least: enough that some are left when a third is lost.
@@ -249,7 +249,9 @@
     /// The share of answers and breaks over the fleet that are breaks.
     breaks: Tally,
     times: Tally,
-    sends: Rate,
+    /// What a warm server of the subset was due here so far, in millionths of a request; the subset's warmth.
+    turn: Micros,
+    warm: f64,
     retries: f64,
 }
 
@@ -348,7 +350,7 @@
             return self.refuse(&id, 0, out);
         }
         match self.draw(&id, true, out) {
-            Verdict::Granted => self.launch(&id, out),
+            Verdict::Granted => self.launch(&id, true, out),
             Verdict::Held => self.customers.entry(key).or_default().waiting.push_back(id),
             Verdict::Beyond => self.beyond(&id, out),
         }
@@ -576,7 +578,7 @@
                 continue;
             }
             match self.draw(&id, false, out) {
-                Verdict::Granted => self.launch(&id, out),
+                Verdict::Granted => self.launch(&id, true, out),
                 Verdict::Held => return self.customers.entry(key).or_default().waiting.push_front(id),
                 Verdict::Beyond => self.beyond(&id, out),
             }
@@ -593,7 +595,7 @@
         // Where a try beyond quota earns more than it costs it is served, while there is room.
         let roomy = self.expected() < self.set.classes[r.class].on_time as f64 * SHED_CHEAPEST;
         if plan.extra_worth > plan.excess_cost && plan.ceiling_rate <= 0.0 && roomy {
-            return self.launch(id, out);
+            return self.launch(id, true, out);
         }
         let Some(c) = self.customers.get_mut(&r.customer) else { return };
         let (rate, burst) = (plan.quota_rate, plan.burst);
@@ -616,7 +618,6 @@
     // ---- Server choice, health, cold starts ----
 
     fn on_members(&mut self, kind: ListKind, entries: Vec<Member>, out: &mut Vec<Action>) {
-        let now = self.now;
         if kind == ListKind::Stale || (kind == ListKind::Lost && self.set.list_on_request) {
             // Danger: an old list after a restart names dead servers and hides cold ones. Ask anew.
             out.push(if self.set.list_on_request { Action::WatchList } else { Action::FetchList });
@@ -625,9 +626,9 @@
             return;
         }
         // Danger: a whole request for free at each of a hundred nodes pushes a cold server over at once.
-        let mut slow = || Bucket { store: lot(&mut self.random), at: now };
+        let mut slow = || Bucket { store: lot(&mut self.random), at: self.turn };
         let entries = entries.into_iter().map(|m| (m, slow())).collect();
-        self.servers.take(kind != ListKind::Changes, entries, self.latency);
+        self.servers.take(kind != ListKind::Changes, entries, (self.now, self.latency));
         self.forget();
     }
 
@@ -652,8 +653,8 @@
             return 1.0;
         }
         let age = self.now.saturating_sub(s.told.started) as f64 / rules.cold as f64;
-        let pace = if s.latency < self.latency { COLD_PACE } else { 1.0 };
-        (pace * (rules.cold_from + (1.0 - rules.cold_from) * age)).min(1.0)
+        let (pace, quick) = (COLD_PACE.min(rules.fall_multiple / 2.0).max(1.0), s.latency < self.latency);
+        ((if quick { pace } else { 1.0 }) * (rules.cold_from + (1.0 - rules.cold_from) * age)).min(1.0)
     }
 
     /// An attempt out for longer than this is past what the fleet usually needs.
@@ -682,7 +683,7 @@
         s.out.iter().filter(|&&sent| sent >= s.ejected && sent >= lost).count()
     }
 
-    /// The server where an attempt should do best, if any may take it, and what it may be sent a second.
+    /// The server where an attempt should do best, if any may take it, and how warm that is.
     /// A node sends to a part of the servers: deterministic subsetting. Danger: at a hundred nodes each would
     /// meet every server so seldom that it pays for a handshake each time and learns of each only by being
     /// harmed. The ids, in the same order at all nodes, are shared out by the nodes' numbers, so that each
@@ -700,8 +701,7 @@
         let subset = round.filter(|(_, s)| s.ejected <= self.now).take(most);
         let (reach, warm) = subset.fold((0, 0.0), |(_, warm), (n, s)| (n + 1, warm + self.warmth(s)));
         let inside = |place: usize| (place + listed - first) % listed < reach;
-        // What this node sends a second to a warm server, in the mean.
-        let per_server = self.sends.get(self.now, RATE_SPAN) / f64::max(warm, 1.0);
+        self.warm = warm;
         // Danger: a node with next to nothing out would always take the largest server. The less its own
         // counts tell, the more the lot decides: exponential, so that servers are drawn by their size.
         let blind = 1.0 / (1.0 + SEEN * self.servers.out as f64 / listed.max(1) as f64);
@@ -734,10 +734,10 @@
             }
             let warmth = self.warmth(s);
             // Danger: a cold server pushed over. This node's 1/n part of the guaranteed share, counted in
-            // what it sends a warm one, is all it gets. Danger too: by cost it always loses to the best of
-            // many, and the warm ones drown. So it takes its part as soon as it is due.
-            let span = self.now.saturating_sub(s.slow.at) as f64 / 1e6;
-            if warmth < 1.0 && s.slow.store + per_server * warmth * span < 1.0 {
+            // what a warm one was due meanwhile (smoothed, a rise counts for a time before it), is all it
+            // gets. By cost it always loses to the best, and the warm ones drown: it goes first once due.
+            let turns = self.turn.saturating_sub(s.slow.at) as f64 / 1e6;
+            if warmth < 1.0 && s.slow.store + warmth * turns < 1.0 {
                 continue;
             }
             let near = s.ejected <= self.now && inside(place);
@@ -758,7 +758,7 @@
             let cost = cost * far * (1.0 + FAIL_COST * fails).powi(2);
             let order = (closed, !near, !due, cost);
             if best.is_none_or(|(b, _)| order < b) {
-                best = Some((order, (s.told.server, per_server * warmth)));
+                best = Some((order, (s.told.server, warmth)));
             }
         }
         best.map(|(_, to)| to)
@@ -772,23 +772,23 @@
 
     // ---- Attempts ----
 
-    fn launch(&mut self, id: &RequestId, out: &mut Vec<Action>) {
+    fn launch(&mut self, id: &RequestId, new: bool, out: &mut Vec<Action>) {
         match self.choose(id, None) {
             Some(to) => self.send(id, to, out),
             None => self.parked.push_back(id.clone()),
         }
+        self.turn += if new { (1e6 / self.warm.max(1.0)) as Micros } else { 0 };
     }
 
-    fn send(&mut self, id: &RequestId, (server, rate): (ServerId, f64), out: &mut Vec<Action>) {
+    fn send(&mut self, id: &RequestId, (server, warmth): (ServerId, f64), out: &mut Vec<Action>) {
         let now = self.now;
         let (Some(r), Some(s)) = (self.requests.get_mut(id), self.servers.sent(server, now)) else { return };
-        s.slow.refill(now, rate, 1.5);
+        s.slow.refill(self.turn, warmth, 1.5);
         s.slow.store -= 1.0;
-        let first = r.attempts.is_empty();
-        self.retries = (self.retries + if first { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
+        self.retries =
+            (self.retries + if r.attempts.is_empty() { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
         r.attempts.push(Attempt { server, place: (s.told.zone, s.told.cell), sent: now, out: true });
         self.customers.entry(r.customer).and_modify(|c| c.open += 1);
-        self.sends.add(now, 1.0, RATE_SPAN);
         out.push(Action::Send { id: id.clone(), server, timeout: 0 });
     }
 
@@ -932,7 +932,7 @@
             if now + 2 * TICK >= r.arrived + patience {
                 self.give_up(&id, out);
             } else {
-                self.launch(&id, out);
+                self.launch(&id, false, out);
             }
         }
         self.rescue(out);
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -108,7 +108,7 @@
 
     /// Takes list entries in one pass in the order of ids, each with the bucket of a new or restarted server.
     /// What is as it was is left alone. What a whole list does not name has gone.
-    pub fn take(&mut self, whole: bool, mut entries: Vec<(Member, Bucket)>, latency: f64) {
+    pub fn take(&mut self, whole: bool, mut entries: Vec<(Member, Bucket)>, (now, latency): (Micros, f64)) {
         // An id that comes twice stays in its order: the later entry counts.
         entries.sort_by_key(|(m, _)| m.server);
         if whole {
@@ -133,7 +133,7 @@
             self.slots.resize_with(self.slots.len().max(slot + 1), Server::default);
             let s = &mut self.slots[slot];
             if known.is_none() {
-                *s = Server { told: m.clone(), latency, heard: slow.at, slow, ..Server::default() };
+                *s = Server { told: m.clone(), latency, heard: now, slow, ..Server::default() };
             }
             m.weight = if m.weight.is_finite() && m.weight > 0.0 { m.weight } else { 1.0 };
             if m.started > s.told.started {
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -171,10 +171,10 @@
 
 #[test]
 fn choices_are_those_of_a_plain_scan_at_sizes_to_come() {
-    for (seed, servers, nodes, events) in [(1, 600, 300, 1_600), (2, 4_600, 570, 240), (3, 46_000, 5_700, 36)]
+    for (seed, servers, nodes, events) in [(1, 600, 300, 1_600), (2, 4_600, 570, 300), (3, 46_000, 5_700, 90)]
     {
         let (right, others, repeats) = follow(seed, servers, nodes, events);
-        let least = if servers > 1_000 { (12, 3, 0) } else { (200, 20, 5) };
+        let least = if servers > 1_000 { (20, 5, 0) } else { (200, 20, 5) };
         assert!(right >= least.0 && others >= least.1 && repeats >= least.2, "{right}, {others}, {repeats}");
     }
 }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -27,12 +27,38 @@
     burst: f64,
     /// How long after their start it begins.
     burst_after: Micros,
+    /// Seven in ten nodes are killed so long after that start, and are back after the second span; meanwhile the
+    /// others get what comes for them.
+    killed: Option<(Micros, Micros)>,
     rules: Rules,
 }
 
+impl Day {
+    /// How many nodes go on through the kill.
+    fn survivors(&self) -> usize {
+        (self.nodes as usize * 3).div_ceil(10)
+    }
+
+    fn down(&self, node: usize, now: Micros) -> bool {
+        let within = |(from, span): (Micros, Micros)| (START + from..START + from + span).contains(&now);
+        node >= self.survivors() && self.killed.is_some_and(within)
+    }
+}
+
 enum What {
-    Ask { node: usize },
-    Event { node: usize, event: Event },
+    Ask {
+        node: usize,
+    },
+    /// For the process that was the node's `life`-th.
+    Event {
+        node: usize,
+        life: u32,
+        event: Event,
+    },
+    /// A killed node is back, with nothing but its list.
+    Back {
+        node: usize,
+    },
 }
 
 /// What is to happen, in order; what comes at one moment in the order in which it was said.
@@ -76,10 +102,14 @@
         Event::Members { kind: ListKind::Whole, entries: entries(count) }
     };
     for node in 0..nodes.len() {
-        agenda.add(100 * SECOND, What::Event { node, event: all(0) });
-        agenda.add(START, What::Event { node, event: all(START) });
+        agenda.add(100 * SECOND, What::Event { node, life: 0, event: all(0) });
+        agenda.add(START, What::Event { node, life: 0, event: all(START) });
         agenda.add(100 * SECOND + 1, What::Ask { node });
+        if let Some((from, span)) = day.killed.filter(|_| node >= day.survivors()) {
+            agenda.add(START + from + span, What::Back { node });
+        }
     }
+    let mut lives = vec![0; nodes.len()];
     let warmth = |server: u64, at: Micros| {
         let age = at.saturating_sub(START) as f64 / day.rules.cold as f64;
         let cold = server >= u64::from(day.warm);
@@ -94,7 +124,15 @@
     let mut asked = 0u64;
     while let Some((now, what)) = agenda.take().filter(|&(at, _)| at < END) {
         let (node, event) = match what {
-            What::Event { node, event } => (node, event),
+            What::Event { node, life, event } if life == lives[node] && !day.down(node, now) => (node, event),
+            What::Event { .. } => continue,
+            What::Back { node } => {
+                lives[node] += 1;
+                let me = node as u32;
+                nodes[node] =
+                    Controller::new(seed * 1_000 + 500 + u64::from(me), Settings { me, ..set.clone() });
+                (node, all(START))
+            }
             What::Ask { node } => {
                 // Drawn at the higher rate and thinned, so that a burst begins at its moment.
                 let most = day.before.max(day.burst);
@@ -119,15 +157,16 @@
                     marked_retry: false,
                     due: now + 2 * SECOND,
                 };
+                let node = if day.down(node, now) { random.usize(..day.survivors()) } else { node };
                 (node, Event::Request(request))
             }
         };
-        let mut actions = Vec::new();
+        let (mut actions, life) = (Vec::new(), lives[node]);
         nodes[node].handle(now, event, &mut actions);
         for action in actions {
             match action {
                 Action::Timer { id, after } => {
-                    agenda.add(now + after, What::Event { node, event: Event::Timer { id } });
+                    agenda.add(now + after, What::Event { node, life, event: Event::Timer { id } });
                 }
                 Action::Send { id, server, .. } => {
                     came.entry(server.0).or_default().push(now);
@@ -147,7 +186,7 @@
                     let finished = outcome == Outcome::Ok;
                     let spent = end - now;
                     let ended = Ended { id, attempt, server, outcome, spent, finished, final_units: None };
-                    agenda.add(end, What::Event { node, event: Event::Ended(ended) });
+                    agenda.add(end, What::Event { node, life, event: Event::Ended(ended) });
                 }
                 Action::Cancel { id, attempt } => {
                     let spent = now - sends[&id][attempt as usize];
@@ -156,7 +195,7 @@
                     let outcome = Outcome::Cancelled;
                     let ended =
                         Ended { id, attempt, server, outcome, spent, finished: false, final_units: None };
-                    agenda.add(now, What::Event { node, event: Event::Ended(ended) });
+                    agenda.add(now, What::Event { node, life, event: Event::Ended(ended) });
                 }
                 _ => {}
             }
@@ -183,7 +222,7 @@
     Told { fullest, cold_share: sum(&cold) / sum(&|_| true).max(1.0) }
 }
 
-fn days(rules: &Rules) -> [Day; 4] {
+fn days(rules: &Rules) -> [Day; 5] {
     let day = |nodes, warm, cold, before, burst, burst_after| Day {
         nodes,
         warm,
@@ -191,6 +230,7 @@
         before,
         burst,
         burst_after,
+        killed: None,
         rules: rules.clone(),
     };
     [
@@ -202,6 +242,8 @@
         day(30, 8, 4, 0.02, 1.2, 8 * SECOND),
         // Far more than the warm ones can do.
         day(30, 4, 8, 0.9, 2.0, 0),
+        // Most nodes are killed and come back, while the others still send for them.
+        Day { killed: Some((SECOND, 2 * SECOND)), ..day(28, 12, 6, 1.0, 1.4, 0) },
     ]
 }
 
@@ -229,3 +271,8 @@
 fn nor_where_it_bears_less_and_for_a_shorter_time() {
     assert_borne(&Rules { cold_from: 0.2, cold: 15 * SECOND, fall_multiple: 2.5, tip_after: 1_500 * MS });
 }
+
+#[test]
+fn nor_where_it_falls_at_half_as_much_again_as_it_can_do() {
+    assert_borne(&Rules { cold_from: 0.2, cold: 15 * SECOND, fall_multiple: 1.5, tip_after: SECOND });
+}
--- a/tests/oracle/mod.rs
+++ b/tests/oracle/mod.rs
@@ -48,7 +48,7 @@
     breaks: u32,
     ejected: Micros,
     store: f64,
-    stored: Micros,
+    stored: u64,
 }
 
 #[derive(Clone)]
@@ -74,7 +74,8 @@
     deviation: f64,
     shares: BTreeMap<usize, Share>,
     breaks: Share,
-    sends: Decaying,
+    /// What a warm server of the subset was due, in millionths.
+    turn: u64,
     retries: f64,
     /// Attempts that were where they should be, and of them those outside the subset, and of repeats bound to
     /// a group.
@@ -94,7 +95,7 @@
             deviation: 50e3,
             shares: BTreeMap::new(),
             breaks: Share::default(),
-            sends: Decaying::default(),
+            turn: 0,
             retries: 10.0,
             right: (0, 0, 0),
         }
@@ -108,12 +109,12 @@
             Event::Request(r) => {
                 let ask = Asked { class: r.class, plan: r.plan, due: r.due, attempts: Vec::new(), ran: None };
                 self.asked.insert(r.id.clone(), ask);
-                self.placed(&r.id, actions);
+                self.placed(&r.id, true, actions);
             }
             Event::Ended(end) => self.ended(end, actions),
             Event::Timer { .. } => {
                 for id in std::mem::take(&mut self.parked) {
-                    self.placed(&id, actions);
+                    self.placed(&id, false, actions);
                 }
                 let cancelled = |a: &Action| match a {
                     Action::Cancel { id, attempt } => Some((id.clone(), *attempt as usize)),
@@ -138,9 +139,9 @@
             self.servers.values_mut().for_each(|s| s.entry.state = MemberState::Out);
         }
         for m in entries {
-            let (store, stored, latency) = (lot(&mut self.random), self.now, self.latency);
+            let (store, stored, latency) = (lot(&mut self.random), self.turn, self.latency);
             let new =
-                Server { started: m.started, heard: stored, latency, store, stored, ..Server::default() };
+                Server { started: m.started, heard: self.now, latency, store, stored, ..Server::default() };
             let s = self.servers.entry(m.server).or_insert(new);
             s.entry = m.clone();
             if m.started > s.started {
@@ -163,16 +164,20 @@
     }
 
     /// A request that is to be passed on, unless the node turned it away unseen.
-    fn placed(&mut self, id: &RequestId, actions: &[Action]) {
+    fn placed(&mut self, id: &RequestId, new: bool, actions: &[Action]) {
         let away = |a: &Action| matches!(a, Action::Refuse { id: i, .. } | Action::Fail { id: i } if i == id);
         if actions.iter().any(away) {
             self.asked.remove(id);
             return;
         }
+        let warm = self.subset().iter().fold(0.0, |sum, key| sum + self.warmth(&self.servers[key]));
         match self.choose(id, None) {
             Some(server) => self.sent(id, server, actions),
             None => self.parked.push_back(id.clone()),
         }
+        if new {
+            self.turn += (1e6 / warm.max(1.0)) as u64;
+        }
     }
 
     fn sent(&mut self, id: &RequestId, server: ServerId, actions: &[Action]) {
@@ -182,19 +187,18 @@
         };
         assert_eq!(actions.iter().find_map(to), Some(server), "where {id:?} goes, at {}", self.now);
         let subset = self.subset();
-        let (warmth, rate) = (self.warmth(&self.servers[&server]), self.rate(&subset));
+        let warmth = self.warmth(&self.servers[&server]);
         let r = self.asked.get_mut(id).expect("a request");
         let bound = r.ran.is_some() && self.set.classes[r.class].effect == Effect::Keyed;
         self.right.0 += 1;
         self.right.1 += u32::from(!subset.contains(&server));
         self.right.2 += u32::from(bound);
         self.retries = (self.retries + if r.attempts.is_empty() { 0.2 } else { -1.0 }).min(20.0);
-        self.sends.add(self.now, 1e6 / 2e6, 2e6);
         let s = self.servers.get_mut(&server).expect("a server");
         r.attempts.push((server, (s.entry.zone, s.entry.cell), self.now, true));
         s.out.push(self.now);
-        s.store = (s.store + rate * warmth * ((self.now - s.stored) as f64 / 1e6)).min(1.5) - 1.0;
-        s.stored = self.now;
+        s.store = (s.store + warmth * ((self.turn - s.stored) as f64 / 1e6)).min(1.5) - 1.0;
+        s.stored = self.turn;
     }
 
     fn ended(&mut self, end: &Ended, actions: &[Action]) {
@@ -288,18 +292,14 @@
         ring
     }
 
-    fn rate(&self, subset: &[ServerId]) -> f64 {
-        let warm = subset.iter().fold(0.0, |sum, key| sum + self.warmth(&self.servers[key]));
-        self.sends.at(self.now, 2e6) / warm.max(1.0)
-    }
-
     fn warmth(&self, s: &Server) -> f64 {
         let rules = &self.set.rules;
         if s.started == 0 {
             return 1.0;
         }
         let age = (self.now - s.started) as f64 / rules.cold as f64;
-        let pace = if s.latency < self.latency { 1.5 } else { 1.0 };
+        let most = (rules.fall_multiple / 2.0).clamp(1.0, 1.5);
+        let pace = if s.latency < self.latency { most } else { 1.0 };
         (pace * (rules.cold_from + (1.0 - rules.cold_from) * age)).min(1.0)
     }
 
@@ -318,7 +318,7 @@
         lots: &mut u64,
     ) -> Option<(Rank, ServerId)> {
         let subset = self.subset();
-        let (r, now, rate) = (&self.asked[id], self.now, self.rate(&subset));
+        let (r, now) = (&self.asked[id], self.now);
         let class = &self.set.classes[r.class];
         let out: usize = self.servers.values().map(|s| s.out.len()).sum();
         let listed = self.servers.values().filter(|s| s.entry.state == MemberState::In).count();
@@ -331,7 +331,7 @@
             let s = &self.servers[&key];
             let (warmth, near, open) =
                 (self.warmth(s), near.contains(&key), s.ejected <= now && !self.silent(s));
-            let waits = warmth < 1.0 && s.store + rate * warmth * ((now - s.stored) as f64 / 1e6) < 1.0;
+            let waits = warmth < 1.0 && s.store + warmth * ((self.turn - s.stored) as f64 / 1e6) < 1.0;
             let tried = s.out.last().is_some_and(|&sent| sent >= s.ejected);
             if waits || open && s.strikes > 0 && (class.effect != Effect::Safe || tried) {
                 continue;
