--- a/crates/scale-rig/src/main.rs
+++ b/crates/scale-rig/src/main.rs
@@ -3,6 +3,7 @@
 
 use std::process::ExitCode;
 
+use clap::error::ErrorKind;
 use clap::{Parser, Subcommand};
 use scale_rig::{decisions, fleet, node, slopes};
 
@@ -29,7 +30,11 @@
 }
 
 fn main() -> ExitCode {
-    let result = match Cli::parse().command {
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(error) => return told(&error),
+    };
+    let result = match cli.command {
         Command::Node(options) => node::run(options),
         Command::Fleet(options) => fleet::run(options),
         Command::Decisions(options) => decisions::run(options),
@@ -43,3 +48,14 @@
         }
     }
 }
+
+/// Help and version as they are; of what is wrong with the arguments the one line that says it.
+fn told(error: &clap::Error) -> ExitCode {
+    if matches!(error.kind(), ErrorKind::DisplayHelp | ErrorKind::DisplayVersion) {
+        return error.print().map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS);
+    }
+    let text = error.to_string();
+    let line = text.lines().next().unwrap_or_default();
+    eprintln!("scale-rig: {}", line.strip_prefix("error: ").unwrap_or(line));
+    ExitCode::from(2)
+}
--- a/crates/scale-rig/tests/node.rs
+++ b/crates/scale-rig/tests/node.rs
@@ -321,8 +321,8 @@
         let out = rig(arguments);
         let said = String::from_utf8(out.stderr).expect("text");
         assert!(!out.status.success() && out.stdout.is_empty(), "{arguments:?}: {said}");
-        let first = said.lines().next().unwrap_or("");
-        assert!(first.contains(arguments[0]) && first.contains(arguments[1]), "{arguments:?}: {said}");
+        assert!(said.lines().count() == 1, "{arguments:?}: {said}");
+        assert!(said.contains(arguments[0]) && said.contains(arguments[1]), "{arguments:?}: {said}");
     }
 }
 
