Give up a watch whose answer drips before what it missed counts as told

Cause, read: an answer that goes on coming was waited for up to 2.5 s past a watch's 5 s, and what the watch missed counts as told after 6 s. Change: an answer may pass the silence by so much only as leaves 0.4 s for a further call within the 6 s.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -29,6 +29,8 @@
 /// 6 s after it at the latest, arrived or not, so a watch on a dead connection is given up sooner.
 const WAIT_MS: u64 = 4_000;
 const GRACE: Duration = Duration::from_millis(1_000);
+/// How long a watch may stay silent in all.
+pub const WATCH_WAIT: Duration = Duration::from_millis(WAIT_MS).saturating_add(GRACE);
 /// How long a fetch of the whole list may stay silent.
 pub const FETCH_WAIT: Duration = Duration::from_secs(2);
 /// How long a new agent may stay silent: what it knows counts as told 4 s after the move.
@@ -168,10 +170,7 @@
         let (mut connection, mut failing) = (None, false);
         loop {
             let (path, wait) = match self.index.get() {
-                Some(index) => (
-                    format!("/discovery/hosts?after={index}&wait_ms={WAIT_MS}"),
-                    Duration::from_millis(WAIT_MS) + GRACE,
-                ),
+                Some(index) => (format!("/discovery/hosts?after={index}&wait_ms={WAIT_MS}"), WATCH_WAIT),
                 None => ("/discovery/hosts".into(), FIRST_WAIT),
             };
             let begun = Instant::now();
@@ -414,12 +413,16 @@
 #[derive(Clone, Copy)]
 pub struct Patience {
     until: Instant,
+    /// By how much an answer that goes on coming may pass that. Danger: a call that is given up later than the
+    /// answer to a further one needs before all counts as told.
+    beyond: Duration,
 }
 
 impl Patience {
     /// Of a call begun at this time whose answer may stay out for so long.
     pub fn new(begun: Instant, wait: Duration) -> Self {
-        Patience { until: begun + wait }
+        let beyond = LIST_WAIT.min(TOLD_AFTER.saturating_sub(ANSWER + wait));
+        Patience { until: begun + wait, beyond }
     }
 
     /// Until when, while nothing comes.
@@ -429,7 +432,7 @@
 
     /// Until when, if some of the answer has come at this time.
     pub fn heard(self, at: Instant) -> Instant {
-        self.until.max(at + STALL).min(self.until + LIST_WAIT)
+        self.until.max(at + STALL).min(self.until + self.beyond)
     }
 }
 
--- a/tests/paces.rs
+++ b/tests/paces.rs
@@ -54,6 +54,8 @@
         assert_eq!(patience.heard(end + LIST_WAIT), end + LIST_WAIT, "bytes in drops are no list");
     }
     assert!(FIRST_WAIT + LIST_WAIT <= Duration::from_secs(4), "after a move it has 4 s");
+    let drops = Patience::new(begun, WATCH_WAIT).heard(begun + TOLD_AFTER);
+    assert!(drops > begun + WATCH_WAIT && drops + ANSWER <= begun + TOLD_AFTER, "a watch whose answer drips");
     assert!(FETCH_WAIT + LIST_WAIT <= TOLD_AFTER);
 }
 
