Read memory, and tell wrong arguments, at one place in the rig

Cause: three of the rig's files read the resident size out of the same page each in its own way, and the build over an earlier version still told wrong arguments in three lines, since only the rig's own main had that mended. Change: Memory reads both figures for all three; both programs tell a wrong argument by the same function.

--- a/crates/scale-rig/src/decisions.rs
+++ b/crates/scale-rig/src/decisions.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use crate::error::RigError;
+use crate::memory::Memory;
 use crate::report::{Output, Report};
 use crate::slopes::child;
 
@@ -619,15 +620,7 @@
 
 /// Resident memory of this process, in bytes.
 fn resident() -> Result<f64, RigError> {
-    const PATH: &str = "/proc/self/status";
-    let text =
-        std::fs::read_to_string(PATH).map_err(|source| RigError::File { path: PATH.into(), source })?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kib = line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
-    kib.map(|kib| kib * 1024.0).ok_or_else(|| RigError::File {
-        path: PATH.into(),
-        source: std::io::Error::new(std::io::ErrorKind::InvalidData, "no VmRSS in it"),
-    })
+    Memory::own().map(|memory| memory.resident as f64)
 }
 
 /// Runs this build and another in turn, each in a process of its own, and tells the ratios of their figures.
--- a/crates/scale-rig/src/earlier.rs
+++ b/crates/scale-rig/src/earlier.rs
@@ -5,6 +5,7 @@
 
 mod decisions;
 mod error;
+mod memory;
 mod report;
 mod slopes;
 
@@ -23,7 +24,11 @@
 }
 
 fn main() -> ExitCode {
-    let result = match Cli::parse() {
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(error) => return error::told("scale-rig-earlier", &error),
+    };
+    let result = match cli {
         Cli::Decisions(options) => decisions::run(options),
         Cli::Slopes(options) => slopes::run(options),
     };
--- a/crates/scale-rig/src/error.rs
+++ b/crates/scale-rig/src/error.rs
@@ -1,5 +1,9 @@
 //! Why a run could not be made.
 
+use std::process::ExitCode;
+
+use clap::error::ErrorKind;
+
 /// Why a run could not be made; its text is the one line that the user sees.
 #[derive(Debug, thiserror::Error)]
 pub enum RigError {
@@ -26,3 +30,14 @@
         source: std::io::Error,
     },
 }
+
+/// Help and version as they are; of what is wrong with a program's arguments the one line that says it.
+pub fn told(program: &str, error: &clap::Error) -> ExitCode {
+    if matches!(error.kind(), ErrorKind::DisplayHelp | ErrorKind::DisplayVersion) {
+        return error.print().map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS);
+    }
+    let text = error.to_string();
+    let line = text.lines().next().unwrap_or_default();
+    eprintln!("{program}: {}", line.strip_prefix("error: ").unwrap_or(line));
+    ExitCode::from(2)
+}
--- a/crates/scale-rig/src/fleet.rs
+++ b/crates/scale-rig/src/fleet.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::error::RigError;
+use crate::memory::Memory;
 use crate::report::{Output, Report};
 
 mod counter;
@@ -269,11 +270,11 @@
     let mut report = Report::new("fleet", arguments);
     let begun = Instant::now();
     let mut world = world::World::new(options);
-    let empty = resident()?;
+    let empty = Memory::own()?.resident;
     world.start();
     let until = world.stop_at() + DRAIN;
     world.run(until, true);
-    let warm = resident()?;
+    let warm = Memory::own()?.resident;
     world.run(until, false);
     figures::tell(&world, &mut report);
     if !options.simulated_only {
@@ -340,14 +341,3 @@
         );
     }
 }
-
-/// The resident size of this process, bytes.
-fn resident() -> Result<u64, RigError> {
-    let path = "/proc/self/status";
-    let failed = |source| RigError::File { path: path.into(), source };
-    let text = std::fs::read_to_string(path).map_err(failed)?;
-    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    let kilobytes = line.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse::<u64>().ok());
-    let none = || failed(std::io::Error::other("it tells no resident size"));
-    kilobytes.map(|k| k * 1024).ok_or_else(none)
-}
--- a/crates/scale-rig/src/lib.rs
+++ b/crates/scale-rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod decisions;
 pub mod error;
 pub mod fleet;
+pub mod memory;
 pub mod node;
 pub mod report;
 pub mod slopes;
--- a/crates/scale-rig/src/main.rs
+++ b/crates/scale-rig/src/main.rs
@@ -3,8 +3,8 @@
 
 use std::process::ExitCode;
 
-use clap::error::ErrorKind;
 use clap::{Parser, Subcommand};
+use scale_rig::error::told;
 use scale_rig::{decisions, fleet, node, slopes};
 
 /// Measures how the edge node's cost, memory, traffic and service grow with the fleet.
@@ -32,7 +32,7 @@
 fn main() -> ExitCode {
     let cli = match Cli::try_parse() {
         Ok(cli) => cli,
-        Err(error) => return told(&error),
+        Err(error) => return told("scale-rig", &error),
     };
     let result = match cli.command {
         Command::Node(options) => node::run(options),
@@ -48,14 +48,3 @@
         }
     }
 }
-
-/// Help and version as they are; of what is wrong with the arguments the one line that says it.
-fn told(error: &clap::Error) -> ExitCode {
-    if matches!(error.kind(), ErrorKind::DisplayHelp | ErrorKind::DisplayVersion) {
-        return error.print().map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS);
-    }
-    let text = error.to_string();
-    let line = text.lines().next().unwrap_or_default();
-    eprintln!("scale-rig: {}", line.strip_prefix("error: ").unwrap_or(line));
-    ExitCode::from(2)
-}
--- /dev/null
+++ b/crates/scale-rig/src/memory.rs
@@ -0,0 +1,44 @@
+//! What memory a process holds, as the machine tells.
+
+use std::io;
+
+use crate::error::RigError;
+
+/// Memory of a process, in bytes.
+#[derive(Debug, Clone, Copy)]
+pub struct Memory {
+    /// Resident now.
+    pub resident: u64,
+    /// The most that it has ever been.
+    pub peak: u64,
+}
+
+impl Memory {
+    /// Of the process of this number, or `self`; none if that has ended and is not waited for yet.
+    ///
+    /// # Errors
+    /// If the machine has no such process.
+    pub fn of(process: &str) -> Result<Option<Memory>, RigError> {
+        let path = path(process);
+        let status = std::fs::read_to_string(&path).map_err(|source| RigError::File { path, source })?;
+        let bytes = |key: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(key));
+            let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+            kilobytes.map(|kilobytes| kilobytes * 1024)
+        };
+        Ok(bytes("VmRSS:").zip(bytes("VmHWM:")).map(|(resident, peak)| Memory { resident, peak }))
+    }
+
+    /// Of this process.
+    ///
+    /// # Errors
+    /// If the machine does not tell.
+    pub fn own() -> Result<Memory, RigError> {
+        let source = io::Error::new(io::ErrorKind::InvalidData, "it tells no resident size");
+        Memory::of("self")?.ok_or_else(|| RigError::File { path: path("self"), source })
+    }
+}
+
+fn path(process: &str) -> String {
+    format!("/proc/{process}/status")
+}
--- a/crates/scale-rig/src/node.rs
+++ b/crates/scale-rig/src/node.rs
@@ -543,9 +543,9 @@
     if let Some(waited) = loaded.usage.waited_percent_since(&idle.usage) {
         report.add("cpu_wait_loaded_percent", waited, "% of the time");
     }
-    report.add("rss_idle_mb", megabytes(idle.usage.resident), "MB");
-    report.add("rss_mb", megabytes(loaded.usage.resident), "MB");
-    report.add("peak_mb", megabytes(edge.usage()?.peak), "MB");
+    report.add("rss_idle_mb", megabytes(idle.usage.memory.resident), "MB");
+    report.add("rss_mb", megabytes(loaded.usage.memory.resident), "MB");
+    report.add("peak_mb", megabytes(edge.usage()?.memory.peak), "MB");
     traffic(report, "idle", &before_idle, &idle);
     traffic(report, "loaded", &idle, &loaded);
     let (whole, changes) = peers.agent.told();
--- a/crates/scale-rig/src/node/process.rs
+++ b/crates/scale-rig/src/node/process.rs
@@ -21,6 +21,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::error::RigError;
+use crate::memory::Memory;
 
 /// What stands before the address in the line that tells where the edge node listens.
 const LISTENING: &str = "listening on ";
@@ -183,10 +184,8 @@
     threads: Option<Threads>,
     /// Processor time of all its threads, also of those that have ended, in whole ticks.
     ticks: Duration,
-    /// Resident memory in bytes.
-    pub resident: u64,
-    /// The most that it has ever been.
-    pub peak: u64,
+    /// Its memory.
+    pub memory: Memory,
     at: Instant,
 }
 
@@ -195,15 +194,8 @@
     pub fn of(pid: u32) -> Result<Usage, RigError> {
         let at = Instant::now();
         let (threads, ticks) = (scheduled(pid), ticks(pid)?);
-        let status = read(&format!("/proc/{pid}/status"))?;
-        let kilobytes = |key: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(key));
-            line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok())
-        };
-        let (Some(resident), Some(peak)) = (kilobytes("VmRSS:"), kilobytes("VmHWM:")) else {
-            return Err(RigError::EdgeNode("has ended".into()));
-        };
-        Ok(Usage { threads, ticks, resident: resident * 1024, peak: peak * 1024, at })
+        let memory = Memory::of(&pid.to_string())?.ok_or_else(|| RigError::EdgeNode("has ended".into()))?;
+        Ok(Usage { threads, ticks, memory, at })
     }
 
     /// The processor time used since an earlier reading, in percent of one core. Danger: the ticks of `stat` are
