Account for every request by its id where a client left in the backlog

The test failed at its last line with 'a request that should not have come'.

The test now takes in what comes by its id: the nine and the one that stays, each once, and never the one whose client left, to the last byte that the node has sent: the node is ended, and every reader of the app server comes to its connection's end. The check that nothing has come names what came.

--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::spawn;
@@ -125,6 +125,7 @@
     pub address: SocketAddr,
     pub lines: Lines,
     news: Receiver<News>,
+    closed: Arc<AtomicBool>,
 }
 
 impl App {
@@ -137,14 +138,19 @@
         let (sender, news) = channel();
         let lines = Lines::default();
         let kept = lines.clone();
+        let closed = Arc::<AtomicBool>::default();
+        let over = closed.clone();
         spawn(move || {
             for stream in listener.incoming().flatten() {
+                if over.load(Ordering::SeqCst) {
+                    return;
+                }
                 kept.lock().expect("no panic").push(stream.try_clone().expect("a clone"));
                 let sender = sender.clone();
                 spawn(move || serve_app(stream, sender));
             }
         });
-        App { address, news, lines }
+        App { address, news, lines, closed }
     }
 
     pub fn news(&self) -> News {
@@ -186,14 +192,36 @@
         assert!(matches!(self.news(), News::Ended), "a request instead of the connection's end");
     }
 
-    /// That nothing but ends of connections has come by now.
+    /// That nothing but ends of connections has come by now. Danger: each connection has a reader of its own, so
+    /// what has been sent may still be on its way here, and what one has passed on says nothing of the others.
     pub fn no_request(&self) {
-        while let Ok(news) = self.news.try_recv() {
-            assert!(!matches!(news, News::Request(_)), "a request that should not have come");
+        self.news.try_iter().for_each(no_request);
+    }
+
+    /// That nothing but ends of connections has come, to the last byte that the node has sent. It must have ended.
+    pub fn no_request_to_the_end(self) {
+        // Connections are accepted in their order, so what the node opened comes before this one.
+        self.closed.store(true, Ordering::SeqCst);
+        let _last = TcpStream::connect(self.address).expect("the app server accepts");
+        // The news end with the last reader.
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.news.recv_timeout(until.saturating_duration_since(Instant::now())) {
+                Ok(news) => no_request(news),
+                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) => panic!("a connection of a node that has ended is open"),
+            }
         }
     }
 }
 
+fn no_request(news: News) {
+    if let News::Request(seen) = news {
+        let Message { first, headers, .. } = &seen.message;
+        panic!("a request that should not have come: {:?}, {first:?}", headers.get("x-request-id"));
+    }
+}
+
 fn serve_app(stream: TcpStream, sender: Sender<News>) {
     let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
     while let Some(message) = read_message(&mut reader) {
--- a/tests/leave.rs
+++ b/tests/leave.rs
@@ -146,29 +146,35 @@
     config["settings"]["bounds"]["connect_timeout"] = json!(60_000_000);
     config["limits"]["sockets"] = json!(40);
     let edge = Edge::new(&config);
+    let long = |class, id: &str| Ask { deadline_ms: 600_000, ..ask(class, id) };
     let mut busy: Vec<Client> = (0..9).map(|_| edge.client()).collect();
     for (number, client) in busy.iter_mut().enumerate() {
-        client.ask(&Ask { deadline_ms: 600_000, ..ask("post", &format!("p-{number}")) });
+        client.ask(&long("post", &format!("p-{number}")));
     }
     let held: Vec<Seen> = (0..7).map(|_| app.next()).collect();
     // No descriptor is left for these. The first has gone before the node takes it in.
     let (mut gone, mut stays) = (edge.client(), edge.client());
     // With no body it is whole as soon as its head is read.
-    gone.ask(&Ask { deadline_ms: 600_000, ..ask("lookup", "gone") });
+    gone.ask(&long("lookup", "gone"));
     drop(gone);
-    stays.ask(&Ask { deadline_ms: 600_000, ..ask("post", "stays") });
+    stays.ask(&long("post", "stays"));
+    let mut came: Vec<String> = held.iter().map(|seen| seen.id().to_string()).collect();
     held.into_iter().for_each(|seen| seen.answer("200 OK", "", "ok"));
-    loop {
+    // Two of the nine wait for a connection, and nothing orders them before the one that stays.
+    for _ in 0..3 {
         let seen = app.next();
         assert_ne!(seen.id(), "gone");
-        let last = seen.id() == "stays";
+        came.push(seen.id().to_string());
         seen.answer("200 OK", "", "ok");
-        if last {
-            break;
-        }
     }
     assert_eq!(stays.answer().status(), 200);
-    app.no_request();
+    assert!(busy.iter_mut().all(|client| client.answer().status() == 200));
+    // Each once, and that is all.
+    came.sort();
+    let expected: Vec<String> = (0..9).map(|n| format!("p-{n}")).chain(["stays".into()]).collect();
+    assert_eq!(came, expected);
+    drop(edge);
+    app.no_request_to_the_end();
 }
 
 #[test]
