Hold the one attempt that is out of a request, in place of a mark on each

Cause: a request kept all its attempts with a mark on those that were out, though there is never more than one: the next is sent only when the one before has ended. So each reader asked a list what is one value.

Change: a request holds how many attempts it had and the one in flight, and the first that may have run as the same type. What an end finds is idle by then, so that question goes, as does the comparison of times of attempts that come in order.

--- a/src/control.rs
+++ b/src/control.rs
@@ -183,12 +183,12 @@
     used_at: Micros,
 }
 
+#[derive(Clone, Copy)]
 struct Attempt {
     server: ServerId,
     /// The server's zone and cell: the request's group outlives the server.
     place: (u32, u32),
     sent: Micros,
-    out: bool,
 }
 
 #[derive(Default)]
@@ -201,9 +201,11 @@
     due: Micros,
     marked: bool,
     drew: f64,
-    attempts: Vec<Attempt>,
-    /// First attempt that may have run: when it was sent, and in which zone and cell.
-    ran: Option<(Micros, (u32, u32))>,
+    /// How many attempts it had, and the one that is out: never two at once.
+    attempts: u32,
+    in_flight: Option<Attempt>,
+    /// First attempt that may have run.
+    ran: Option<Attempt>,
     answered: bool,
     stream: bool,
 }
@@ -693,7 +695,7 @@
         let class = &self.set.classes[r.class];
         let (safe, by_cell) = (class.effect == Effect::Safe, class.group == Group::Cell);
         let ran = r.ran.filter(|_| class.effect == Effect::Keyed && class.group != Group::All);
-        let bound = ran.map(|(_, (zone, cell))| if by_cell { cell } else { zone });
+        let bound = ran.map(|a| if by_cell { a.place.1 } else { a.place.0 });
         let (listed, nodes) = (self.servers.ring.len(), self.set.nodes.max(1) as usize);
         let most = (listed * COVER).div_ceil(nodes).max(SUBSET_LEAST);
         let first = self.set.me as usize * listed / nodes % listed.max(1);
@@ -785,9 +787,9 @@
         let (Some(r), Some(s)) = (self.requests.get_mut(id), self.servers.sent(server, now)) else { return };
         s.slow.refill(self.turn, warmth, 1.5);
         s.slow.store -= 1.0;
-        self.retries =
-            (self.retries + if r.attempts.is_empty() { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
-        r.attempts.push(Attempt { server, place: (s.told.zone, s.told.cell), sent: now, out: true });
+        self.retries = (self.retries + if r.attempts == 0 { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
+        r.attempts += 1;
+        r.in_flight = Some(Attempt { server, place: (s.told.zone, s.told.cell), sent: now });
         self.customers.entry(r.customer).and_modify(|c| c.open += 1);
         out.push(Action::Send { id: id.clone(), server, timeout: 0 });
     }
@@ -795,13 +797,10 @@
     fn on_ended(&mut self, end: Ended, out: &mut Vec<Action>) {
         let (now, overdue) = (self.now, self.overdue());
         let Some(r) = self.requests.get_mut(&end.id) else { return };
-        let Some(a) = r.attempts.get_mut(end.attempt as usize).filter(|a| a.out) else { return };
-        a.out = false;
-        let (server, sent, place) = (a.server, a.sent, a.place);
+        let Some(a) = r.in_flight.take_if(|_| end.attempt == r.attempts - 1) else { return };
+        let (server, sent) = (a.server, a.sent);
         let may_have_run = !matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Ignored);
-        if may_have_run && r.ran.is_none_or(|(at, _)| sent < at) {
-            r.ran = Some((sent, place));
-        }
+        r.ran = r.ran.or(may_have_run.then_some(a));
         r.answered |= end.finished;
         self.customers.entry(r.customer).and_modify(|c| c.open = c.open.saturating_sub(1));
         let Some(s) = self.servers.ended(server, sent) else { return };
@@ -851,17 +850,15 @@
             Outcome::TimedOut | Outcome::Cancelled if quiet => self.strike(server),
             _ => {}
         }
-        let Some(r) = self.requests.get(&end.id) else { return };
-        let idle = r.attempts.iter().all(|a| !a.out);
-        if !r.answered && idle {
-            let again = end.outcome != Outcome::Ignored && self.may_resend(&end.id);
-            let pick = || self.choose(&end.id, Some(server)).or_else(|| self.choose(&end.id, None));
-            match again.then(pick).flatten() {
-                Some(next) => self.send(&end.id, next, out),
-                None => self.give_up(&end.id, out),
-            }
-        } else if idle {
+        if self.requests.get(&end.id).is_none_or(|r| r.answered) {
             self.requests.remove(&end.id);
+            return;
+        }
+        let again = end.outcome != Outcome::Ignored && self.may_resend(&end.id);
+        let pick = || self.choose(&end.id, Some(server)).or_else(|| self.choose(&end.id, None));
+        match again.then(pick).flatten() {
+            Some(next) => self.send(&end.id, next, out),
+            None => self.give_up(&end.id, out),
         }
     }
 
@@ -869,18 +866,17 @@
     fn may_resend(&self, id: &RequestId) -> bool {
         let Some(r) = self.requests.get(id) else { return false };
         let class = &self.set.classes[r.class];
-        let fits = (r.attempts.len() as u32) < self.set.limits.try_limit
+        let fits = r.attempts < self.set.limits.try_limit
             && self.now + self.latency as Micros / 2 < r.due
             && !r.answered
             && !r.stream
             && self.retries >= 1.0;
         // An attempt still out counts as one that may have run.
-        let out = r.attempts.iter().filter(|a| a.out).map(|a| a.sent);
-        let first = out.chain(r.ran.map(|(at, _)| at)).min();
+        let first = r.ran.or(r.in_flight);
         fits && match (class.effect, first) {
             (Effect::Safe, _) | (_, None) => true,
             // Danger: it counts when it is written, and its connection may come up late.
-            (Effect::Keyed, Some(at)) => self.now + self.set.limits.connect < at + class.window,
+            (Effect::Keyed, Some(a)) => self.now + self.set.limits.connect < a.sent + class.window,
             (Effect::Unsafe, Some(_)) => false,
         }
     }
@@ -889,9 +885,8 @@
     fn give_up(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(id) else { return };
         let class = &self.set.classes[r.class];
-        let ran = r.ran.is_some() || r.attempts.iter().any(|a| a.out);
         let dropped = class.effect == Effect::Keyed && class.group == Group::All;
-        let harmless = !ran || dropped || class.effect == Effect::Safe;
+        let harmless = r.ran.is_none() || dropped || class.effect == Effect::Safe;
         if harmless {
             self.refuse(id, 0, out);
         } else {
@@ -909,13 +904,13 @@
     fn close(&mut self, id: &RequestId) {
         let Some(r) = self.requests.get_mut(id) else { return };
         r.answered = true;
-        if let Some(c) = self.customers.get_mut(&r.customer).filter(|_| r.attempts.is_empty()) {
+        if let Some(c) = self.customers.get_mut(&r.customer).filter(|_| r.attempts == 0) {
             c.lease += r.drew;
             // Danger: a client may use an id again at once, and a place left behind would send it twice.
             c.waiting.retain(|waiting| waiting != id);
             self.parked.retain(|parked| parked != id);
         }
-        if r.attempts.iter().all(|a| !a.out) {
+        if r.in_flight.is_none() {
             self.requests.remove(id);
         }
     }
@@ -962,12 +957,11 @@
     fn rescue(&mut self, out: &mut Vec<Action>) {
         let mut late = Vec::new();
         for (id, r) in &self.requests {
-            let mut flying = r.attempts.iter().enumerate().filter(|(_, a)| a.out);
-            let (Some((n, a)), None) = (flying.next(), flying.next()) else { continue };
+            let Some(a) = r.in_flight else { continue };
             let silent = self.servers.get(a.server).is_some_and(|s| self.silent(s) || s.ejected > self.now);
             let age = self.now.saturating_sub(a.sent) as f64;
             if silent && age > self.overdue() && self.set.limits.cancel && self.may_resend(id) {
-                late.push((id.clone(), n as u32, a.server));
+                late.push((id.clone(), r.attempts - 1, a.server));
             }
         }
         for (id, attempt, server) in late {
