Keep a request as the client asked it, and drop what the decisions did twice

Cause: six fields of a request were copies of those of the event that brought it, made before it was known whether it would be refused at once. A burn was added to what is untold and written into the call afterwards, and the window of a count was worked out beside its name. Of what waits for a lease each was asked whether it had been answered, though an answer takes it out of the queue. Whether the node had begun was kept beside when.

Change: a request holds that event and is entered once it is not refused out of hand; a call takes its burn along; a count's name is asked for by time; the question that is always answered no goes; one field tells that and when the node began. An entry of the server list that differs is put into its groups anew in any case.

--- a/src/control.rs
+++ b/src/control.rs
@@ -191,15 +191,10 @@
     sent: Micros,
 }
 
-#[derive(Default)]
 struct Request {
-    customer: CustomerId,
-    class: usize,
-    plan: usize,
-    units: f64,
+    /// What the client asks, with units that can be counted.
+    ask: NewRequest,
     arrived: Micros,
-    due: Micros,
-    marked: bool,
     drew: f64,
     /// How many attempts it had, and the one that is out: never two at once.
     attempts: u32,
@@ -216,10 +211,10 @@
     set: Settings,
     random: u64,
     now: Micros,
-    begun: Micros,
+    /// When the first event came.
+    begun: Option<Micros>,
     /// When customers and servers were last looked through.
     swept: Micros,
-    ticking: bool,
     /// A planned stop: what is granted from here on and serves nobody goes back at once.
     stopping: bool,
     customers: BTreeMap<CustomerId, Customer>,
@@ -283,8 +278,8 @@
     /// Takes one event at the time `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if !self.ticking {
-            (self.ticking, self.begun) = (true, now);
+        if self.begun.is_none() {
+            self.begun = Some(now);
             out.push(Action::Timer { id: 0, after: TICK });
         }
         match event {
@@ -316,41 +311,41 @@
 
     // ---- Quota leases ----
 
-    fn on_request(&mut self, new: NewRequest, out: &mut Vec<Action>) {
+    fn on_request(&mut self, mut new: NewRequest, out: &mut Vec<Action>) {
         if new.class >= self.set.classes.len() || self.requests.contains_key(&new.id) {
             return;
         }
-        let (now, id, key) = (self.now, new.id, new.customer);
-        let units = if new.units.is_finite() { new.units.max(0.0) } else { 1.0 };
+        let (now, id, key) = (self.now, new.id.clone(), new.customer);
+        new.units = if new.units.is_finite() { new.units.max(0.0) } else { 1.0 };
         let spread = new.spread.clamp(1, self.set.nodes.max(1)) as f64;
         // Danger: under a hard ceiling nodes may restart in any number while the counter is empty.
         let first = |p: &Plan| if p.ceiling_rate > 0.0 { p.burst / spread / 2.0 } else { p.burst };
         let level = self.set.plans.get(new.plan).map_or(0.0, first);
-        let fresh = || Customer { level, level_at: now, mean: units, ..Customer::default() };
+        let fresh = || Customer { level, level_at: now, mean: new.units, ..Customer::default() };
         let c = self.customers.entry(key).or_insert_with(fresh);
         (c.plan, c.spread, c.used_at) = (new.plan, spread, now);
-        c.asked.add(now, units, RATE_SPAN);
-        c.mean += (units - c.mean) * 0.1;
-        let (class, plan, due, marked) = (new.class, new.plan, new.due, new.marked_retry);
-        let request =
-            Request { customer: key, class, plan, units, due, marked, arrived: now, ..Request::default() };
-        self.requests.insert(id.clone(), request);
+        c.asked.add(now, new.units, RATE_SPAN);
+        c.mean += (new.units - c.mean) * 0.1;
         if let Some(p) = self.set.plans.get(new.plan) {
-            let worth = self.set.classes[new.class].credit * p.worth_factor * units;
+            let worth = self.set.classes[new.class].credit * p.worth_factor * new.units;
             self.guesses = (self.guesses + GUESS_SHARE * worth).min(GUESS_STORE * dearest(&self.set));
         }
         if !new.marked_retry {
             self.patience.insert(new.class, new.due.saturating_sub(now));
         }
         // Danger: a try that comes as its client gives up is overdue before any answer could come.
-        if let Some(over) = self.overloaded(&id) {
-            let told = self.set.limits.retry_after && !marked;
+        if let Some(over) = self.overloaded(&new) {
+            let told = self.set.limits.retry_after && !new.marked_retry;
             let relief = over.clamp(TICK, self.set.limits.max_retry_after.max(TICK));
             return self.refuse(&id, if told { relief } else { 0 }, out);
         }
-        if self.hopeless(&id) || now + TICK + self.latency as Micros / 4 > new.due {
+        if new.marked_retry && self.hopeless(&new) || now + TICK + self.latency as Micros / 4 > new.due {
             return self.refuse(&id, 0, out);
         }
+        let (attempts, in_flight, ran, answered, stream) = (0, None, None, false, false);
+        let request =
+            Request { ask: new, arrived: now, drew: 0.0, attempts, in_flight, ran, answered, stream };
+        self.requests.insert(id.clone(), request);
         match self.draw(&id, true, out) {
             Verdict::Granted => self.launch(&id, true, out),
             Verdict::Held => self.customers.entry(key).or_default().waiting.push_back(id),
@@ -360,11 +355,10 @@
 
     /// Whether a marked return can no longer earn its worth: its client's time, counted back from when it
     /// gives up, is past the aim. A new try's span tells nothing of that, so an equal one is let be.
-    fn hopeless(&self, id: &RequestId) -> bool {
-        let Some(r) = self.requests.get(id).filter(|r| r.marked) else { return false };
-        let class = &self.set.classes[r.class];
-        let span = r.due.saturating_sub(r.arrived);
-        let fresh = self.patience.get(&r.class).is_some_and(|&p| p.abs_diff(span) < p / 50);
+    fn hopeless(&self, new: &NewRequest) -> bool {
+        let class = &self.set.classes[new.class];
+        let span = new.due.saturating_sub(self.now);
+        let fresh = self.patience.get(&new.class).is_some_and(|&p| p.abs_diff(span) < p / 50);
         let gone = class.deadline.saturating_sub(span) as f64;
         !fresh && class.late_worth < 0.5 && gone + self.latency / 2.0 > class.on_time as f64
     }
@@ -378,9 +372,9 @@
         let (now, up) = (self.now, self.counter_up());
         let silent = self.counter_rest >= COUNTER_REST_MAX;
         let Some(r) = self.requests.get_mut(id) else { return Verdict::Beyond };
-        let Some(c) = self.customers.get_mut(&r.customer) else { return Verdict::Beyond };
-        let Some(plan) = self.set.plans.get(r.plan) else { return Verdict::Granted };
-        let (key, units, credit) = (r.customer, r.units, self.set.classes[r.class].credit);
+        let Some(c) = self.customers.get_mut(&r.ask.customer) else { return Verdict::Beyond };
+        let Some(plan) = self.set.plans.get(r.ask.plan) else { return Verdict::Granted };
+        let (key, units, credit) = (r.ask.customer, r.ask.units, self.set.classes[r.ask.class].credit);
         // Slots are shared by what the other nodes' recent draws keep out, one slot at least.
         let (slots, drawn) = (plan.open_limit as f64, c.others.get(now, RATE_SPAN) / c.mean.max(0.1));
         let other =
@@ -401,7 +395,7 @@
             }
             return Verdict::Granted;
         }
-        let queued: f64 = c.waiting.iter().filter_map(|w| self.requests.get(w)).map(|w| w.units).sum();
+        let queued: f64 = c.waiting.iter().filter_map(|w| self.requests.get(w)).map(|w| w.ask.units).sum();
         let queued = if may_wait { queued } else { 0.0 };
         let left = projected(c, plan, now);
         if let (true, Some(call)) = (up, &c.call) {
@@ -464,16 +458,17 @@
         let block = (c.asked.get(now, RATE_SPAN) * LEASE_AHEAD / 1e6).max(part);
         let amount = (need - c.lease).max(block - c.lease).min((left / 2.0).max(need - c.lease)).max(0.0);
         if amount > 0.0 {
-            self.count(key, amount, out);
+            self.count(key, amount, 0.0, out);
         }
     }
 
-    fn count(&mut self, key: CustomerId, amount: f64, out: &mut Vec<Action>) {
+    /// Calls for an amount; tells with it what was let in untold, and the burn.
+    fn count(&mut self, key: CustomerId, amount: f64, burn: f64, out: &mut Vec<Action>) {
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let name = count_name(key, window_of(key, self.now));
+        let name = count_name(key, self.now);
         let proxy = amount.max(0.0) * std::mem::take(&mut c.stands);
-        let told = std::mem::take(&mut c.untold) + proxy;
-        c.call = Some(Call { amount, told, proxy, burn: 0.0, at: self.now, unread: 0, doubtful: false });
+        let (told, at) = (std::mem::take(&mut c.untold) + burn + proxy, self.now);
+        c.call = Some(Call { amount, told, proxy, burn: burn.max(0.0), at, unread: 0, doubtful: false });
         self.calls.insert(name, key);
         out.push(Action::Count { name, amount: amount + told, keep_for: KEEP });
     }
@@ -517,12 +512,9 @@
             }
         }
         if excess > 0.01 {
-            self.count(key, -excess, out);
+            self.count(key, -excess, 0.0, out);
         } else if !call.doubtful && (burn < 0.0 || burn > 0.0 && self.asking > 0.5) {
-            self.customers.entry(key).and_modify(|c| c.untold += burn);
-            self.count(key, 0.0, out);
-            let call = self.customers.get_mut(&key).and_then(|c| c.call.as_mut());
-            call.into_iter().for_each(|call| call.burn = burn.max(0.0));
+            self.count(key, 0.0, burn, out);
         }
         self.serve_waiting(key, out);
         if self.stopping {
@@ -545,7 +537,7 @@
             // Danger: a part of a request lying at each of a hundred nodes strands the whole burst. With
             // the bucket short, what serves nobody who waits goes back at once, and not when it is idle.
             let wants = c.waiting.iter().filter_map(|w| self.requests.get(w)).filter(|r| !r.answered);
-            let rest = wants.fold(c.lease, |l, r| if l >= r.units { l - r.units } else { l });
+            let rest = wants.fold(c.lease, |l, r| if l >= r.ask.units { l - r.ask.units } else { l });
             c.lease -= rest * empty;
             excess += rest * empty;
         }
@@ -559,13 +551,13 @@
         let Some(c) = self.customers.get_mut(&key) else { return };
         match outcome {
             // The total of a window that is over tells nothing of this one.
-            Outcome::Ok if total.is_finite() && name == count_name(key, window_of(key, self.now)) => {
+            Outcome::Ok if total.is_finite() && name == count_name(key, self.now) => {
                 let (excess, _) = self.booked(key, &mut call, total);
                 let Some(c) = self.customers.get_mut(&key) else { return };
                 if c.call.is_some() {
                     c.untold -= excess;
                 } else if excess > 0.01 {
-                    self.count(key, -excess, out);
+                    self.count(key, -excess, 0.0, out);
                 }
             }
             Outcome::Full | Outcome::ConnectFailed => not_added(c, &call),
@@ -576,9 +568,6 @@
     /// Lets in what waited for a lease, in order; what still lacks units is deferred.
     fn serve_waiting(&mut self, key: CustomerId, out: &mut Vec<Action>) {
         while let Some(id) = self.customers.get_mut(&key).and_then(|c| c.waiting.pop_front()) {
-            if self.requests.get(&id).is_none_or(|r| r.answered) {
-                continue;
-            }
             match self.draw(&id, false, out) {
                 Verdict::Granted => self.launch(&id, true, out),
                 Verdict::Held => return self.customers.entry(key).or_default().waiting.push_front(id),
@@ -593,23 +582,23 @@
     fn beyond(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(r) = self.requests.get(id) else { return };
-        let Some(plan) = self.set.plans.get(r.plan) else { return };
+        let Some(plan) = self.set.plans.get(r.ask.plan) else { return };
         // Where a try beyond quota earns more than it costs it is served, while there is room.
-        let roomy = self.expected() < self.set.classes[r.class].on_time as f64 * SHED_CHEAPEST;
+        let roomy = self.expected() < self.set.classes[r.ask.class].on_time as f64 * SHED_CHEAPEST;
         if plan.extra_worth > plan.excess_cost && plan.ceiling_rate <= 0.0 && roomy {
             return self.launch(id, true, out);
         }
-        let Some(c) = self.customers.get_mut(&r.customer) else { return };
+        let Some(c) = self.customers.get_mut(&r.ask.customer) else { return };
         let (rate, burst) = (plan.quota_rate, plan.burst);
         let slots = (plan.open_limit as f64 / c.spread).max(1.0);
         let drawn = c.drawn.get(now, RATE_SPAN).max(rate / c.spread);
-        let x = if rate > 0.0 { r.units / drawn * 1e6 } else { self.latency / slots };
+        let x = if rate > 0.0 { r.ask.units / drawn * 1e6 } else { self.latency / slots };
         let reach = if rate > 0.0 { burst / rate * 1e6 } else { self.latency * plan.open_limit as f64 };
         let reach = reach.min(self.set.limits.max_retry_after as f64);
         c.promises.retain(|&p| p > now);
         let most = ((reach / x.max(1.0)) as usize).min(PROMISES_MAX);
         let mut advice = 0;
-        if self.set.limits.retry_after && !r.marked && c.promises.len() < most {
+        if self.set.limits.retry_after && !r.ask.marked_retry && c.promises.len() < most {
             let at = c.promises.back().copied().unwrap_or(now) + x as Micros;
             c.promises.push_back(at);
             advice = at - now;
@@ -692,7 +681,7 @@
     /// server is in as many subsets as any other. The next ones stand in for those that are ejected.
     fn choose(&mut self, id: &RequestId, not: Option<ServerId>) -> Option<(ServerId, f64)> {
         let r = self.requests.get(id)?;
-        let class = &self.set.classes[r.class];
+        let class = &self.set.classes[r.ask.class];
         let (safe, by_cell) = (class.effect == Effect::Safe, class.group == Group::Cell);
         let ran = r.ran.filter(|_| class.effect == Effect::Keyed && class.group != Group::All);
         let bound = ran.map(|a| if by_cell { a.place.1 } else { a.place.0 });
@@ -709,7 +698,7 @@
         let blind = 1.0 / (1.0 + SEEN * self.servers.out as f64 / listed.max(1) as f64);
         let now = self.now;
         let common = |kind| (kind, self.tally.get(&kind).map_or(0.0, |t| t.mean(now, 0.0, TALLY_SPAN)));
-        let kinds = [r.class, self.set.classes.len() + r.plan, LOST].map(common);
+        let kinds = [r.ask.class, self.set.classes.len() + r.ask.plan, LOST].map(common);
         let failing = kinds.iter().any(|k| k.1 > 0.01);
         let mut best: Option<((bool, bool, bool, f64), _)> = None;
         let mut looks = VecDeque::from_iter(if listed <= LOOKS { 0..listed } else { first..first + reach });
@@ -790,7 +779,7 @@
         self.retries = (self.retries + if r.attempts == 0 { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
         r.attempts += 1;
         r.in_flight = Some(Attempt { server, place: (s.told.zone, s.told.cell), sent: now });
-        self.customers.entry(r.customer).and_modify(|c| c.open += 1);
+        self.customers.entry(r.ask.customer).and_modify(|c| c.open += 1);
         out.push(Action::Send { id: id.clone(), server, timeout: 0 });
     }
 
@@ -802,7 +791,7 @@
         let may_have_run = !matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Ignored);
         r.ran = r.ran.or(may_have_run.then_some(a));
         r.answered |= end.finished;
-        self.customers.entry(r.customer).and_modify(|c| c.open = c.open.saturating_sub(1));
+        self.customers.entry(r.ask.customer).and_modify(|c| c.open = c.open.saturating_sub(1));
         let Some(s) = self.servers.ended(server, sent) else { return };
         // Danger: servers that fail one class, or turn one plan away, and serve the rest. They are passed
         // over for that kind alone, by what else is known of it (outlier ejection by success rate).
@@ -811,7 +800,7 @@
         // and a node that meets each server seldom would learn of each loss anew.
         let unanswered = matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
         let lost = unanswered && s.heard < sent && end.spent as f64 > overdue;
-        let kinds = [(r.class, bad), (self.set.classes.len() + r.plan, bad), (LOST, lost)];
+        let kinds = [(r.ask.class, bad), (self.set.classes.len() + r.ask.plan, bad), (LOST, lost)];
         for (kind, failed) in kinds.into_iter().filter(|&(_, failed)| failed || ok) {
             for tally in [&mut s.tally, &mut self.tally] {
                 tally.entry(kind).or_default().add(now, f64::from(u8::from(failed)), TALLY_SPAN);
@@ -850,9 +839,8 @@
             Outcome::TimedOut | Outcome::Cancelled if quiet => self.strike(server),
             _ => {}
         }
-        if self.requests.get(&end.id).is_none_or(|r| r.answered) {
-            self.requests.remove(&end.id);
-            return;
+        if self.requests.get(&end.id).is_some_and(|r| r.answered) {
+            return self.close(&end.id);
         }
         let again = end.outcome != Outcome::Ignored && self.may_resend(&end.id);
         let pick = || self.choose(&end.id, Some(server)).or_else(|| self.choose(&end.id, None));
@@ -865,11 +853,10 @@
     /// Whether the rules, the client's time and the retry budget allow another attempt.
     fn may_resend(&self, id: &RequestId) -> bool {
         let Some(r) = self.requests.get(id) else { return false };
-        let class = &self.set.classes[r.class];
+        let class = &self.set.classes[r.ask.class];
         let fits = r.attempts < self.set.limits.try_limit
-            && self.now + self.latency as Micros / 2 < r.due
-            && !r.answered
-            && !r.stream
+            && self.now + self.latency as Micros / 2 < r.ask.due
+            && !(r.answered || r.stream)
             && self.retries >= 1.0;
         // An attempt still out counts as one that may have run.
         let first = r.ran.or(r.in_flight);
@@ -884,15 +871,14 @@
     /// The last answer to a request that cannot be served: refused where that is true, else failed.
     fn give_up(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(id) else { return };
-        let class = &self.set.classes[r.class];
+        let class = &self.set.classes[r.ask.class];
         let dropped = class.effect == Effect::Keyed && class.group == Group::All;
         let harmless = r.ran.is_none() || dropped || class.effect == Effect::Safe;
         if harmless {
-            self.refuse(id, 0, out);
-        } else {
-            out.push(Action::Fail { id: id.clone() });
-            self.close(id);
+            return self.refuse(id, 0, out);
         }
+        out.push(Action::Fail { id: id.clone() });
+        self.close(id);
     }
 
     fn refuse(&mut self, id: &RequestId, retry_after: Micros, out: &mut Vec<Action>) {
@@ -904,7 +890,7 @@
     fn close(&mut self, id: &RequestId) {
         let Some(r) = self.requests.get_mut(id) else { return };
         r.answered = true;
-        if let Some(c) = self.customers.get_mut(&r.customer).filter(|_| r.attempts == 0) {
+        if let Some(c) = self.customers.get_mut(&r.ask.customer).filter(|_| r.attempts == 0) {
             c.lease += r.drew;
             // Danger: a client may use an id again at once, and a place left behind would send it twice.
             c.waiting.retain(|waiting| waiting != id);
@@ -923,7 +909,7 @@
         for id in std::mem::take(&mut self.parked) {
             let Some(r) = self.requests.get(&id) else { continue };
             // Danger: what is turned away late has cost its client the time to go elsewhere.
-            let patience = self.set.classes[r.class].on_time.min(r.due.saturating_sub(r.arrived) / 2);
+            let patience = self.set.classes[r.ask.class].on_time.min(r.ask.due.saturating_sub(r.arrived) / 2);
             if now + 2 * TICK >= r.arrived + patience {
                 self.give_up(&id, out);
             } else {
@@ -949,7 +935,7 @@
         let spare = |c: &Customer| up && now.saturating_sub(c.used_at) > idle && c.call.is_none();
         let spare = self.customers.iter_mut().filter(|(_, c)| spare(c) && c.lease > c.mean / 2.0);
         let back: Vec<_> = spare.map(|(&key, c)| (key, std::mem::take(&mut c.lease))).collect();
-        back.into_iter().for_each(|(key, back)| self.count(key, -back, out));
+        back.into_iter().for_each(|(key, back)| self.count(key, -back, 0.0, out));
     }
 
     /// Danger: a server that takes work and answers nothing. What is out there for longer than the fleet ever
@@ -976,10 +962,9 @@
     /// is smoothed, so it falls by a constant share each tick.
     /// Danger: a full fleet, where everything is answered late. The cheapest work goes first. Judged by what
     /// is out now, so that an idle fleet always lets in: old latencies alone latch it shut.
-    fn overloaded(&self, id: &RequestId) -> Option<Micros> {
-        let r = self.requests.get(id)?;
-        let plan = self.set.plans.get(r.plan)?;
-        let class = &self.set.classes[r.class];
+    fn overloaded(&self, new: &NewRequest) -> Option<Micros> {
+        let plan = self.set.plans.get(new.plan)?;
+        let class = &self.set.classes[new.class];
         let credit = self.set.classes.iter().map(|c| c.credit).fold(1e-9, f64::max);
         let factor = self.set.plans.iter().map(|p| p.worth_factor).fold(1e-9, f64::max);
         let rank = class.credit / credit * plan.worth_factor / factor;
@@ -999,7 +984,7 @@
         let answering = self.servers.met().filter(|s| self.answers(s));
         let rate: f64 = answering.map(|s| s.done.get(self.now, DONE_SPAN)).sum();
         let mean = self.times.mean(self.now, self.shortest_aim() * SHED_CHEAPEST / 2.0, MEAN_SPAN);
-        let age = 1.0 - (-(self.now.saturating_sub(self.begun) as f64) / DONE_SPAN).exp();
+        let age = 1.0 - (-(self.now.saturating_sub(self.begun.unwrap_or_default()) as f64) / DONE_SPAN).exp();
         let rate = (rate > 0.0).then_some(rate / age.max(1e-3) + EVIDENCE * 1e6 / mean.max(1.0));
         rate.map_or(0.0, |rate| (self.held + EVIDENCE) / rate * 1e6)
     }
@@ -1098,6 +1083,6 @@
     (now + mix(key.0) % WINDOW) / WINDOW
 }
 
-fn count_name(key: CustomerId, window: u64) -> CountName {
-    CountName(mix(mix(key.0) ^ window.wrapping_mul(GOLDEN)) >> 1)
+fn count_name(key: CustomerId, now: Micros) -> CountName {
+    CountName(mix(mix(key.0) ^ window_of(key, now).wrapping_mul(GOLDEN)) >> 1)
 }
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -144,11 +144,9 @@
             if known.is_none() || told(&m) != told(&s.told) {
                 self.touched += 1;
                 let old = groups(&std::mem::replace(&mut s.told, m));
-                if known.is_none() || old != groups(&s.told) {
-                    old.iter().for_each(|group| _ = self.groups.remove(group));
-                    let asked = |group: &(bool, u32, ServerId)| self.grouped[usize::from(group.0)];
-                    self.groups.extend(groups(&s.told).into_iter().filter(asked));
-                }
+                old.iter().for_each(|group| _ = self.groups.remove(group));
+                let asked = |group: &(bool, u32, ServerId)| self.grouped[usize::from(group.0)];
+                self.groups.extend(groups(&s.told).into_iter().filter(asked));
             }
             if s.told.state == MemberState::In {
                 self.ring.push((s.told.server, slot));
