Name a request that is asked, and shorten names that broke lines

Cause: the event of a request and the request kept of it had two names for the same thing, and some lines were broken for a character or two.

Change: the event is `ask` in both; handlers of the counter's answers are `on_count` and `on_late`. A value that was named to be used once is used where it is.

--- a/src/control.rs
+++ b/src/control.rs
@@ -288,8 +288,8 @@
             Event::Began { id } => self.requests.get_mut(&id).into_iter().for_each(|r| r.stream = true),
             Event::Ended(end) => self.on_ended(end, out),
             Event::Gone { id } => self.close(&id),
-            Event::Counted { name, outcome, total } => self.on_counted(name, outcome, total, out),
-            Event::CountedLate { name, outcome, total } => self.on_counted_late(name, outcome, total, out),
+            Event::Counted { name, outcome, total } => self.on_count(name, outcome, total, out),
+            Event::CountedLate { name, outcome, total } => self.on_late(name, outcome, total, out),
             Event::Timer { .. } => self.on_tick(out),
             Event::Stopping => {
                 self.stopping = true;
@@ -311,40 +311,39 @@
 
     // ---- Quota leases ----
 
-    fn on_request(&mut self, mut new: NewRequest, out: &mut Vec<Action>) {
-        if new.class >= self.set.classes.len() || self.requests.contains_key(&new.id) {
+    fn on_request(&mut self, mut ask: NewRequest, out: &mut Vec<Action>) {
+        if ask.class >= self.set.classes.len() || self.requests.contains_key(&ask.id) {
             return;
         }
-        let (now, id, key) = (self.now, new.id.clone(), new.customer);
-        new.units = if new.units.is_finite() { new.units.max(0.0) } else { 1.0 };
-        let spread = new.spread.clamp(1, self.set.nodes.max(1)) as f64;
+        let (now, id, key) = (self.now, ask.id.clone(), ask.customer);
+        ask.units = if ask.units.is_finite() { ask.units.max(0.0) } else { 1.0 };
+        let spread = ask.spread.clamp(1, self.set.nodes.max(1)) as f64;
         // Danger: under a hard ceiling nodes may restart in any number while the counter is empty.
         let first = |p: &Plan| if p.ceiling_rate > 0.0 { p.burst / spread / 2.0 } else { p.burst };
-        let level = self.set.plans.get(new.plan).map_or(0.0, first);
-        let fresh = || Customer { level, level_at: now, mean: new.units, ..Customer::default() };
+        let level = self.set.plans.get(ask.plan).map_or(0.0, first);
+        let fresh = || Customer { level, level_at: now, mean: ask.units, ..Customer::default() };
         let c = self.customers.entry(key).or_insert_with(fresh);
-        (c.plan, c.spread, c.used_at) = (new.plan, spread, now);
-        c.asked.add(now, new.units, RATE_SPAN);
-        c.mean += (new.units - c.mean) * 0.1;
-        if let Some(p) = self.set.plans.get(new.plan) {
-            let worth = self.set.classes[new.class].credit * p.worth_factor * new.units;
+        (c.plan, c.spread, c.used_at) = (ask.plan, spread, now);
+        c.asked.add(now, ask.units, RATE_SPAN);
+        c.mean += (ask.units - c.mean) * 0.1;
+        if let Some(p) = self.set.plans.get(ask.plan) {
+            let worth = self.set.classes[ask.class].credit * p.worth_factor * ask.units;
             self.guesses = (self.guesses + GUESS_SHARE * worth).min(GUESS_STORE * dearest(&self.set));
         }
-        if !new.marked_retry {
-            self.patience.insert(new.class, new.due.saturating_sub(now));
+        if !ask.marked_retry {
+            self.patience.insert(ask.class, ask.due.saturating_sub(now));
         }
         // Danger: a try that comes as its client gives up is overdue before any answer could come.
-        if let Some(over) = self.overloaded(&new) {
-            let told = self.set.limits.retry_after && !new.marked_retry;
+        if let Some(over) = self.overloaded(&ask) {
+            let told = self.set.limits.retry_after && !ask.marked_retry;
             let relief = over.clamp(TICK, self.set.limits.max_retry_after.max(TICK));
             return self.refuse(&id, if told { relief } else { 0 }, out);
         }
-        if new.marked_retry && self.hopeless(&new) || now + TICK + self.latency as Micros / 4 > new.due {
+        if ask.marked_retry && self.hopeless(&ask) || now + TICK + self.latency as Micros / 4 > ask.due {
             return self.refuse(&id, 0, out);
         }
         let (attempts, in_flight, ran, answered, stream) = (0, None, None, false, false);
-        let request =
-            Request { ask: new, arrived: now, drew: 0.0, attempts, in_flight, ran, answered, stream };
+        let request = Request { ask, arrived: now, drew: 0.0, attempts, in_flight, ran, answered, stream };
         self.requests.insert(id.clone(), request);
         match self.draw(&id, true, out) {
             Verdict::Granted => self.launch(&id, true, out),
@@ -377,9 +376,8 @@
         let (key, units, credit) = (r.ask.customer, r.ask.units, self.set.classes[r.ask.class].credit);
         // Slots are shared by what the other nodes' recent draws keep out, one slot at least.
         let (slots, drawn) = (plan.open_limit as f64, c.others.get(now, RATE_SPAN) / c.mean.max(0.1));
-        let other =
-            if c.seen.is_some() { drawn * self.latency / 1e6 } else { slots * (1.0 - 1.0 / c.spread) };
-        if plan.open_limit > 0 && c.open as f64 + other + 0.5 > slots.max(other + 1.5) {
+        let away = if c.seen.is_some() { drawn * self.latency / 1e6 } else { slots * (1.0 - 1.0 / c.spread) };
+        if plan.open_limit > 0 && c.open as f64 + away + 0.5 > slots.max(away + 1.5) {
             return Verdict::Beyond;
         }
         if plan.quota_rate <= 0.0 {
@@ -449,13 +447,12 @@
 
     /// Calls for a demand-sized block, no more than the bucket seems to hold.
     fn refill(&mut self, key: CustomerId, need: f64, out: &mut Vec<Action>) {
-        let now = self.now;
-        let Some(c) = self.customers.get_mut(&key) else { return };
+        let Some(c) = self.customers.get(&key) else { return };
         let Some(plan) = self.set.plans.get(c.plan) else { return };
-        let left = projected(c, plan, now);
+        let left = projected(c, plan, self.now);
         // Danger: whole requests lying at each of a hundred nodes would strand the burst of a slow customer.
         let part = (LEASE_REQUESTS * c.mean).min(plan.burst / c.spread);
-        let block = (c.asked.get(now, RATE_SPAN) * LEASE_AHEAD / 1e6).max(part);
+        let block = (c.asked.get(self.now, RATE_SPAN) * LEASE_AHEAD / 1e6).max(part);
         let amount = (need - c.lease).max(block - c.lease).min((left / 2.0).max(need - c.lease)).max(0.0);
         if amount > 0.0 {
             self.count(key, amount, 0.0, out);
@@ -473,7 +470,7 @@
         out.push(Action::Count { name, amount: amount + told, keep_for: KEEP });
     }
 
-    fn on_counted(&mut self, name: CountName, outcome: Outcome, total: f64, out: &mut Vec<Action>) {
+    fn on_count(&mut self, name: CountName, outcome: Outcome, total: f64, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(key) = self.calls.remove(&name) else { return };
         let Some(c) = self.customers.get_mut(&key) else { return };
@@ -524,15 +521,14 @@
 
     /// Books the total of a call that was added; tells what is to go back, and what overflow to take off.
     fn booked(&mut self, key: CustomerId, call: &mut Call, total: f64) -> (f64, f64) {
-        let now = self.now;
         let Some(c) = self.customers.get_mut(&key) else { return (0.0, 0.0) };
         let Some(plan) = self.set.plans.get(c.plan) else { return (0.0, 0.0) };
-        settle(c, key, now, call, total);
-        let (mut excess, burn) = book(c, plan, key, now, call, total);
+        settle(c, key, self.now, call, total);
+        let (mut excess, burn) = book(c, plan, key, self.now, call, total);
         if call.amount > 0.0 {
             let empty = if excess > 0.0 { 1.0 } else { 0.0 };
-            c.looks.add(now, empty, TALLY_SPAN);
-            self.looks.entry(c.plan).or_default().add(now, empty, TALLY_SPAN);
+            c.looks.add(self.now, empty, TALLY_SPAN);
+            self.looks.entry(c.plan).or_default().add(self.now, empty, TALLY_SPAN);
             excess += empty * call.proxy;
             // Danger: a part of a request lying at each of a hundred nodes strands the whole burst. With
             // the bucket short, what serves nobody who waits goes back at once, and not when it is idle.
@@ -546,7 +542,7 @@
 
     /// Danger: a slow counter adds what a call asked for though its answer comes too late. Taken for draws of
     /// other nodes, these units would serve nobody, and the quota would look used up.
-    fn on_counted_late(&mut self, name: CountName, outcome: Outcome, total: f64, out: &mut Vec<Action>) {
+    fn on_late(&mut self, name: CountName, outcome: Outcome, total: f64, out: &mut Vec<Action>) {
         let Some((key, mut call)) = self.overdue.get_mut(&name).and_then(VecDeque::pop_front) else { return };
         let Some(c) = self.customers.get_mut(&key) else { return };
         match outcome {
@@ -859,8 +855,7 @@
             && !(r.answered || r.stream)
             && self.retries >= 1.0;
         // An attempt still out counts as one that may have run.
-        let first = r.ran.or(r.in_flight);
-        fits && match (class.effect, first) {
+        fits && match (class.effect, r.ran.or(r.in_flight)) {
             (Effect::Safe, _) | (_, None) => true,
             // Danger: it counts when it is written, and its connection may come up late.
             (Effect::Keyed, Some(a)) => self.now + self.set.limits.connect < a.sent + class.window,
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -112,8 +112,7 @@
         // An id that comes twice stays in its order: the later entry counts.
         entries.sort_by_key(|(m, _)| m.server);
         if whole {
-            let known =
-                self.ring.iter().map(|e| e.1).chain(self.off.values().copied()).map(|k| &self.slots[k]);
+            let known = self.ring.iter().map(|e| &e.1).chain(self.off.values()).map(|&k| &self.slots[k]);
             let named = |s: &&Server| entries.binary_search_by_key(&s.told.server, |e| e.0.server).is_ok();
             let gone = |s: &Server| (Member { state: MemberState::Out, ..s.told.clone() }, s.slow);
             let gone: Vec<_> = known.filter(|s| !named(s)).map(gone).collect();
