Name what the decisions keep by the terms of the field

Cause: some words hid a standard concept: `out` for attempts in flight, `slow` for slow start, `strike` for an ejection, `turn` for the virtual time that cold servers are held against, `asking` for the share that AIMD sets, `rest` for the counter's back-off, `lot` for a uniform random number, `beyond` for the deferral. `overdue` named both the bound past which an answer is late and the calls that timed out.

Change: in_flight, slow_start, eject, virtual_time and subset_warmth, ask_share, counter_backoff, uniform, defer, latency_bound and expired. Strikes are told to be ejections since the last answer or start. Names alone differ.

--- a/src/control.rs
+++ b/src/control.rs
@@ -16,9 +16,9 @@
 use crate::interface::*;
 use attempts::{Request, LATENCY_START, RETRY_STORE};
 use choice::{LOST, TALLY_SPAN};
-use numbers::{lot, mix, Bucket, Rate, Tally, GOLDEN};
+use numbers::{mix, uniform, Bucket, Rate, Tally, GOLDEN};
 use overload::{DONE_SPAN, HELD_GAIN, MEAN_SPAN, SHED_CHEAPEST, SHED_DEAREST};
-use quota::{dearest, Call, Customer, COUNTER_REST, GUESS_STORE, KEEP, LEASE_IDLE, RATE_SPAN};
+use quota::{dearest, Call, Customer, COUNTER_BACKOFF, GUESS_STORE, KEEP, LEASE_IDLE, RATE_SPAN};
 use roster::{Roster, Server, LOOKS};
 
 /// Housekeeping period: rescues, half-open servers, held requests, give-backs.
@@ -43,11 +43,11 @@
     /// Calls out, by name: one at a time for a customer.
     calls: BTreeMap<CountName, CustomerId>,
     /// Calls that timed out and may yet be answered, by name, the oldest first.
-    overdue: BTreeMap<CountName, VecDeque<(CustomerId, Call)>>,
-    counter_rest: Micros,
+    expired: BTreeMap<CountName, VecDeque<(CustomerId, Call)>>,
+    counter_backoff: Micros,
     counter_until: Micros,
     /// The share of requests without a lease that ask the counter: AIMD on its answers.
-    asking: f64,
+    ask_share: f64,
     /// What a guess loses in the mean.
     stakes: f64,
     /// What guesses may still cost.
@@ -69,8 +69,8 @@
     breaks: Tally,
     times: Tally,
     /// What a warm server of the subset was due here so far, in millionths of a request; the subset's warmth.
-    turn: Micros,
-    warm: f64,
+    virtual_time: Micros,
+    subset_warmth: f64,
     retries: f64,
 }
 
@@ -79,8 +79,8 @@
     pub fn new(seed: u64, set: Settings) -> Self {
         Controller {
             random: seed,
-            counter_rest: COUNTER_REST,
-            asking: 1.0,
+            counter_backoff: COUNTER_BACKOFF,
+            ask_share: 1.0,
             latency: LATENCY_START,
             deviation: LATENCY_START / 2.0,
             retries: RETRY_STORE / 2.0,
@@ -142,14 +142,14 @@
         }
         self.rescue(out);
         let silent: Vec<_> = self.servers.met().filter(|s| self.silent(s)).map(|s| s.told.server).collect();
-        silent.into_iter().for_each(|key| self.strike(key));
+        silent.into_iter().for_each(|key| self.eject(key));
         if now >= self.swept + SWEEP {
             self.swept = now;
-            let idle = if self.asking > 0.5 { LEASE_IDLE } else { Micros::MAX };
+            let idle = if self.ask_share > 0.5 { LEASE_IDLE } else { Micros::MAX };
             self.hand_back(idle, out);
             self.forget();
             let known = |calls: &VecDeque<(_, Call)>| calls.back().is_some_and(|(_, c)| now < c.at + KEEP);
-            self.overdue.retain(|_, calls| known(calls));
+            self.expired.retain(|_, calls| known(calls));
         }
     }
 }
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -41,14 +41,14 @@
             Some(to) => self.send(id, to, out),
             None => self.parked.push_back(id.clone()),
         }
-        self.turn += if new { (1e6 / self.warm.max(1.0)) as Micros } else { 0 };
+        self.virtual_time += if new { (1e6 / self.subset_warmth.max(1.0)) as Micros } else { 0 };
     }
 
     fn send(&mut self, id: &RequestId, (server, warmth): (ServerId, f64), out: &mut Vec<Action>) {
         let now = self.now;
         let (Some(r), Some(s)) = (self.requests.get_mut(id), self.servers.sent(server, now)) else { return };
-        s.slow.refill(self.turn, warmth, 1.5);
-        s.slow.store -= 1.0;
+        s.slow_start.refill(self.virtual_time, warmth, 1.5);
+        s.slow_start.store -= 1.0;
         self.retries = (self.retries + if r.attempts == 0 { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
         r.attempts += 1;
         r.in_flight = Some(Attempt { server, place: (s.told.zone, s.told.cell), sent: now });
@@ -57,7 +57,7 @@
     }
 
     pub(super) fn on_ended(&mut self, end: Ended, out: &mut Vec<Action>) {
-        let (now, overdue) = (self.now, self.overdue());
+        let (now, bound) = (self.now, self.latency_bound());
         let Some(r) = self.requests.get_mut(&end.id) else { return };
         let Some(a) = r.in_flight.take_if(|_| end.attempt == r.attempts - 1) else { return };
         let (server, sent) = (a.server, a.sent);
@@ -72,7 +72,7 @@
         // Danger: servers that lose part of what they take and answer the rest. An answer clears all strikes,
         // and a node that meets each server seldom would learn of each loss anew.
         let unanswered = matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
-        let lost = unanswered && s.heard < sent && end.spent as f64 > overdue;
+        let lost = unanswered && s.heard < sent && end.spent as f64 > bound;
         let kinds = [(r.ask.class, bad), (self.set.classes.len() + r.ask.plan, bad), (LOST, lost)];
         for (kind, failed) in kinds.into_iter().filter(|&(_, failed)| failed || ok) {
             for tally in [&mut s.tally, &mut self.tally] {
@@ -108,8 +108,8 @@
             Outcome::Error => s.heard = now,
             // What broke has left the server too, and overload is judged by the rate at which requests leave.
             Outcome::Reset if !dead => s.done.add(now, 1.0, DONE_SPAN),
-            Outcome::ConnectFailed | Outcome::Reset => self.strike(server),
-            Outcome::TimedOut | Outcome::Cancelled if quiet => self.strike(server),
+            Outcome::ConnectFailed | Outcome::Reset => self.eject(server),
+            Outcome::TimedOut | Outcome::Cancelled if quiet => self.eject(server),
             _ => {}
         }
         if self.requests.get(&end.id).is_some_and(|r| r.answered) {
@@ -181,12 +181,12 @@
             let Some(a) = r.in_flight else { continue };
             let silent = self.servers.get(a.server).is_some_and(|s| self.silent(s) || s.ejected > self.now);
             let age = self.now.saturating_sub(a.sent) as f64;
-            if silent && age > self.overdue() && self.set.limits.cancel && self.may_resend(id) {
+            if silent && age > self.latency_bound() && self.set.limits.cancel && self.may_resend(id) {
                 late.push((id.clone(), r.attempts - 1, a.server));
             }
         }
         for (id, attempt, server) in late {
-            self.strike(server);
+            self.eject(server);
             out.push(Action::Cancel { id, attempt });
         }
     }
--- a/src/control/choice.rs
+++ b/src/control/choice.rs
@@ -29,8 +29,8 @@
             return;
         }
         // Danger: a whole request for free at each of a hundred nodes pushes a cold server over at once.
-        let mut slow = || Bucket { store: lot(&mut self.random), at: self.turn };
-        let entries = entries.into_iter().map(|m| (m, slow())).collect();
+        let mut slow_start = || Bucket { store: uniform(&mut self.random), at: self.virtual_time };
+        let entries = entries.into_iter().map(|m| (m, slow_start())).collect();
         self.servers.take(kind != ListKind::Changes, entries, (self.now, self.latency));
         self.forget();
     }
@@ -47,16 +47,16 @@
     }
 
     /// An attempt out for longer than this is past what the fleet usually needs.
-    pub(super) fn overdue(&self) -> f64 {
+    pub(super) fn latency_bound(&self) -> f64 {
         self.latency + 4.0 * self.deviation
     }
 
     /// Silence while others answer, by the oldest attempt out since the last ejection. Danger: what hung
     /// before, and may not be sent again, would keep a server shut long after it has recovered.
     pub(super) fn silent(&self, s: &Server) -> bool {
-        let Some(&oldest) = s.out.iter().find(|&&sent| sent >= s.ejected) else { return false };
+        let Some(&oldest) = s.in_flight.iter().find(|&&sent| sent >= s.ejected) else { return false };
         let since = self.now.saturating_sub(oldest.max(s.heard)) as f64;
-        since > self.overdue() * if s.out.len() > 2 { 1.0 } else { 2.0 }
+        since > self.latency_bound() * if s.in_flight.len() > 2 { 1.0 } else { 2.0 }
     }
 
     /// The server where an attempt should do best, if any may take it, and how warm that is.
@@ -77,10 +77,10 @@
         let subset = round.filter(|(_, s)| s.ejected <= self.now).take(most);
         let (reach, warm) = subset.fold((0, 0.0), |(_, warm), (n, s)| (n + 1, warm + self.warmth(s)));
         let inside = |place: usize| (place + listed - first) % listed < reach;
-        self.warm = warm;
+        self.subset_warmth = warm;
         // Danger: a node with next to nothing out would always take the largest server. The less its own
         // counts tell, the more the lot decides: exponential, so that servers are drawn by their size.
-        let blind = 1.0 / (1.0 + SEEN * self.servers.out as f64 / listed.max(1) as f64);
+        let blind = 1.0 / (1.0 + SEEN * self.servers.in_flight as f64 / listed.max(1) as f64);
         let now = self.now;
         let common = |kind| (kind, self.tally.get(&kind).map_or(0.0, |t| t.mean(now, 0.0, TALLY_SPAN)));
         let kinds = [r.ask.class, self.set.classes.len() + r.ask.plan, LOST].map(common);
@@ -96,7 +96,7 @@
                     break;
                 }
                 let step = (listed - reach).div_ceil(LOOKS);
-                let from = reach + (lot(&mut self.random) * step as f64) as usize;
+                let from = reach + (uniform(&mut self.random) * step as f64) as usize;
                 looks = match bound {
                     Some(group) => self.servers.group(by_cell, group).filter(|&k| !inside(k)).collect(),
                     None => (from..listed).step_by(step).map(|k| first + k).collect(),
@@ -112,19 +112,19 @@
             // Danger: a cold server pushed over. This node's 1/n part of the guaranteed share, counted in
             // what a warm one was due meanwhile (smoothed, a rise counts for a time before it), is all it
             // gets. By cost it always loses to the best, and the warm ones drown: it goes first once due.
-            let turns = self.turn.saturating_sub(s.slow.at) as f64 / 1e6;
-            if warmth < 1.0 && s.slow.store + warmth * turns < 1.0 {
+            let turns = self.virtual_time.saturating_sub(s.slow_start.at) as f64 / 1e6;
+            if warmth < 1.0 && s.slow_start.store + warmth * turns < 1.0 {
                 continue;
             }
             let near = s.ejected <= self.now && inside(place);
             let due = near && warmth < 1.0 && s.strikes == 0;
             let closed = s.ejected > self.now || self.silent(s);
-            if !closed && s.strikes > 0 && (!safe || s.out.back().is_some_and(|&sent| sent >= s.ejected)) {
+            if !closed && s.strikes > 0 && (!safe || s.in_flight.back().is_some_and(|&at| at >= s.ejected)) {
                 continue;
             }
-            let load = s.out.iter().filter(|&&sent| sent >= s.ejected).count() as f64;
+            let load = s.in_flight.iter().filter(|&&sent| sent >= s.ejected).count() as f64;
             let slowness = (s.latency / self.latency).clamp(0.25, 4.0);
-            let lot = -(1.0 - lot(&mut self.random)).ln();
+            let lot = -(1.0 - uniform(&mut self.random)).ln();
             let cost = slowness * (load + 1.0 - blind + blind * lot) / (s.told.weight * warmth.max(0.05));
             let far = if s.told.zone == self.set.zone { 1.0 } else { 1.0 + 2.0 * self.set.cross_zone_price };
             let risk = |(kind, prior)| s.tally.get(&kind).map_or(prior, |t| t.mean(now, prior, TALLY_SPAN));
@@ -140,7 +140,7 @@
         best.map(|(_, to)| to)
     }
 
-    pub(super) fn strike(&mut self, key: ServerId) {
+    pub(super) fn eject(&mut self, key: ServerId) {
         let Some(s) = self.servers.get_mut(key).filter(|s| s.ejected <= self.now) else { return };
         s.ejected = self.now + (EJECT << s.strikes.min(8)).min(EJECT_MAX);
         s.strikes += 1;
--- a/src/control/deferral.rs
+++ b/src/control/deferral.rs
@@ -7,7 +7,7 @@
 
 impl Controller {
     /// Beyond quota: DSRT. A retry-after x past the latest promise, at most D of them open.
-    pub(super) fn beyond(&mut self, id: &RequestId, out: &mut Vec<Action>) {
+    pub(super) fn defer(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(r) = self.requests.get(id) else { return };
         let Some(plan) = self.set.plans.get(r.ask.plan) else { return };
--- a/src/control/numbers.rs
+++ b/src/control/numbers.rs
@@ -65,7 +65,7 @@
 }
 
 /// A random number of [0, 1).
-pub(super) fn lot(state: &mut u64) -> f64 {
+pub(super) fn uniform(state: &mut u64) -> f64 {
     *state = mix(state.wrapping_add(GOLDEN));
     (*state >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/src/control/overload.rs
+++ b/src/control/overload.rs
@@ -61,7 +61,7 @@
     /// later attempts were answered, stays out until its client gives up; one or two look like a full fleet.
     /// It does harm where single requests work for much longer than others: these are not seen.
     pub(super) fn working(&self, s: &Server) -> usize {
-        let lost = s.answered.saturating_sub(self.overdue() as Micros);
-        s.out.iter().filter(|&&sent| sent >= s.ejected && sent >= lost).count()
+        let lost = s.answered.saturating_sub(self.latency_bound() as Micros);
+        s.in_flight.iter().filter(|&&sent| sent >= s.ejected && sent >= lost).count()
     }
 }
--- a/src/control/quota.rs
+++ b/src/control/quota.rs
@@ -22,8 +22,8 @@
 const ASK_LESS: f64 = 0.85;
 const ASK_LEAST: f64 = 4.0;
 /// Back-off from a failing counter: doubles from the first to the last.
-pub(super) const COUNTER_REST: Micros = 50_000;
-const COUNTER_REST_MAX: Micros = 800_000;
+pub(super) const COUNTER_BACKOFF: Micros = 50_000;
+const COUNTER_BACKOFF_MAX: Micros = 800_000;
 /// What guesses may cost by what they let through beyond quotas: a share of what is asked, and so much of the
 /// dearest request saved up. The operators bear a tenth of the worth. What was let through was some three
 /// times what the risk told, since looks lag behind and retries are asked for, too: hence a sixth of that.
@@ -121,7 +121,7 @@
         match self.draw(&id, true, out) {
             Verdict::Granted => self.launch(&id, true, out),
             Verdict::Held => self.customers.entry(key).or_default().waiting.push_back(id),
-            Verdict::Beyond => self.beyond(&id, out),
+            Verdict::Beyond => self.defer(&id, out),
         }
     }
 
@@ -142,7 +142,7 @@
     /// Draws a request's units from the lease, or says whether to wait for a refill.
     fn draw(&mut self, id: &RequestId, may_wait: bool, out: &mut Vec<Action>) -> Verdict {
         let (now, up) = (self.now, self.counter_up());
-        let silent = self.counter_rest >= COUNTER_REST_MAX;
+        let silent = self.counter_backoff >= COUNTER_BACKOFF_MAX;
         let Some(r) = self.requests.get_mut(id) else { return Verdict::Beyond };
         let Some(c) = self.customers.get_mut(&r.ask.customer) else { return Verdict::Beyond };
         let Some(plan) = self.set.plans.get(r.ask.plan) else { return Verdict::Granted };
@@ -189,9 +189,9 @@
         let slight = plan.burst / c.spread < c.mean;
         let trusted = slight && plan.ceiling_rate <= 0.0 && 1.0 - risk > risk * cost + crowd * CROWD;
         self.stakes += (stake - self.stakes) * if may_wait { 0.02 } else { 0.0 };
-        let odds = self.asking * (stake / self.stakes.max(1e-9)).clamp(0.2, 5.0);
-        let chance = odds / (1.0 - self.asking + odds);
-        if up && lot(&mut self.random) < chance {
+        let odds = self.ask_share * (stake / self.stakes.max(1e-9)).clamp(0.2, 5.0);
+        let chance = odds / (1.0 - self.ask_share + odds);
+        if up && uniform(&mut self.random) < chance {
             c.stands = if trusted { 1.0 / chance - 1.0 } else { 0.0 };
             self.refill(key, units + queued, out);
             return Verdict::Held;
@@ -263,27 +263,27 @@
         // Danger: a hundred nodes that ask for every request crowd the counter, and then none gets an answer.
         let prompt = outcome == Outcome::Ok && now.saturating_sub(call.at) < self.set.counter.wait / 2;
         if !spoilt {
-            let next = if prompt { self.asking + ASK_MORE } else { self.asking * ASK_LESS };
-            self.asking = next.max(ASK_LEAST / self.set.nodes as f64).clamp(0.05, 1.0);
+            let next = if prompt { self.ask_share + ASK_MORE } else { self.ask_share * ASK_LESS };
+            self.ask_share = next.max(ASK_LEAST / self.set.nodes as f64).clamp(0.05, 1.0);
         }
         if outcome == Outcome::Ok && total.is_finite() {
-            (self.counter_rest, self.counter_until) = (COUNTER_REST, 0);
+            (self.counter_backoff, self.counter_until) = (COUNTER_BACKOFF, 0);
             c.share = None;
             (excess, burn) = self.booked(key, &mut call, total);
         } else if !spoilt {
             // Danger: a silent or crowded counter. Nothing is granted; the next call waits, longer each time,
             // and a random part keeps the nodes from coming back in step.
-            let rest = self.counter_rest;
-            self.counter_until = now + rest / 2 + (lot(&mut self.random) * rest as f64 / 2.0) as Micros;
-            self.counter_rest = (rest * 2).min(COUNTER_REST_MAX);
+            let rest = self.counter_backoff;
+            self.counter_until = now + rest / 2 + (uniform(&mut self.random) * rest as f64 / 2.0) as Micros;
+            self.counter_backoff = (rest * 2).min(COUNTER_BACKOFF_MAX);
             match outcome {
-                Outcome::TimedOut => self.overdue.entry(name).or_default().push_back((key, call.clone())),
+                Outcome::TimedOut => self.expired.entry(name).or_default().push_back((key, call.clone())),
                 _ => not_added(c, &call),
             }
         }
         if excess > 0.01 {
             self.count(key, -excess, 0.0, out);
-        } else if !call.doubtful && (burn < 0.0 || burn > 0.0 && self.asking > 0.5) {
+        } else if !call.doubtful && (burn < 0.0 || burn > 0.0 && self.ask_share > 0.5) {
             self.count(key, 0.0, burn, out);
         }
         self.serve_waiting(key, out);
@@ -316,7 +316,7 @@
     /// Danger: a slow counter adds what a call asked for though its answer comes too late. Taken for draws of
     /// other nodes, these units would serve nobody, and the quota would look used up.
     pub(super) fn on_late(&mut self, name: CountName, outcome: Outcome, total: f64, out: &mut Vec<Action>) {
-        let Some((key, mut call)) = self.overdue.get_mut(&name).and_then(VecDeque::pop_front) else { return };
+        let Some((key, mut call)) = self.expired.get_mut(&name).and_then(VecDeque::pop_front) else { return };
         let Some(c) = self.customers.get_mut(&key) else { return };
         match outcome {
             // The total of a window that is over tells nothing of this one.
@@ -340,7 +340,7 @@
             match self.draw(&id, false, out) {
                 Verdict::Granted => self.launch(&id, true, out),
                 Verdict::Held => return self.customers.entry(key).or_default().waiting.push_front(id),
-                Verdict::Beyond => self.beyond(&id, out),
+                Verdict::Beyond => self.defer(&id, out),
             }
         }
     }
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -17,7 +17,7 @@
     /// What the list told last, but for the latest start.
     pub told: Member,
     /// When the attempts that are out were sent. The roster alone changes it.
-    pub out: VecDeque<Micros>,
+    pub in_flight: VecDeque<Micros>,
     pub latency: f64,
     pub done: Rate,
     /// How attempts ended, by kind: class or plan.
@@ -25,11 +25,12 @@
     pub heard: Micros,
     /// When the latest of the attempts was sent that it has answered.
     pub answered: Micros,
+    /// Ejections since its last answer or start.
     pub strikes: u32,
     /// Connections to it that broke under a request since its last answer.
     pub breaks: u32,
     pub ejected: Micros,
-    pub slow: Bucket,
+    pub slow_start: Bucket,
 }
 
 fn groups(m: &Member) -> [(bool, u32, ServerId); 2] {
@@ -49,7 +50,7 @@
     /// Those with something out or a rate of answers.
     met: BTreeMap<ServerId, usize>,
     /// How many attempts are out.
-    pub out: usize,
+    pub in_flight: usize,
     pub looked: Cell<u64>,
     pub touched: u64,
 }
@@ -93,16 +94,16 @@
     pub fn sent(&mut self, id: ServerId, now: Micros) -> Option<&mut Server> {
         let slot = self.slot(id)?;
         self.met.insert(id, slot);
-        self.out += 1;
-        self.slots[slot].out.push_back(now);
+        self.in_flight += 1;
+        self.slots[slot].in_flight.push_back(now);
         self.slots.get_mut(slot)
     }
 
     pub fn ended(&mut self, id: ServerId, sent: Micros) -> Option<&mut Server> {
         let slot = self.slot(id)?;
-        let nth = self.slots[slot].out.iter().position(|&t| t == sent)?;
-        self.out -= 1;
-        self.slots[slot].out.remove(nth);
+        let nth = self.slots[slot].in_flight.iter().position(|&t| t == sent)?;
+        self.in_flight -= 1;
+        self.slots[slot].in_flight.remove(nth);
         self.slots.get_mut(slot)
     }
 
@@ -114,7 +115,7 @@
         if whole {
             let known = self.ring.iter().map(|e| &e.1).chain(self.off.values()).map(|&k| &self.slots[k]);
             let named = |s: &&Server| entries.binary_search_by_key(&s.told.server, |e| e.0.server).is_ok();
-            let gone = |s: &Server| (Member { state: MemberState::Out, ..s.told.clone() }, s.slow);
+            let gone = |s: &Server| (Member { state: MemberState::Out, ..s.told.clone() }, s.slow_start);
             let gone: Vec<_> = known.filter(|s| !named(s)).map(gone).collect();
             entries.extend(gone);
             entries.sort_by_key(|(m, _)| m.server);
@@ -122,7 +123,7 @@
         let first = entries.first().map_or(ServerId(u64::MAX), |(m, _)| m.server);
         let old = self.ring.split_off(self.ring.partition_point(|e| e.0 < first));
         let mut old = &old[..];
-        for (mut m, slow) in entries {
+        for (mut m, slow_start) in entries {
             let (before, after) = old.split_at(old.iter().take_while(|e| e.0 <= m.server).count());
             self.ring.extend_from_slice(before);
             old = after;
@@ -132,11 +133,11 @@
             self.slots.resize_with(self.slots.len().max(slot + 1), Server::default);
             let s = &mut self.slots[slot];
             if known.is_none() {
-                *s = Server { told: m.clone(), latency, heard: now, slow, ..Server::default() };
+                *s = Server { told: m.clone(), latency, heard: now, slow_start, ..Server::default() };
             }
             m.weight = if m.weight.is_finite() && m.weight > 0.0 { m.weight } else { 1.0 };
             if m.started > s.told.started {
-                (s.strikes, s.breaks, s.ejected, s.slow, s.latency) = (0, 0, 0, slow, latency);
+                (s.strikes, s.breaks, s.ejected, s.slow_start, s.latency) = (0, 0, 0, slow_start, latency);
             }
             m.started = m.started.max(s.told.started);
             let told = |m: &Member| (m.zone, m.cell, m.weight, m.state, m.started);
@@ -159,7 +160,7 @@
     /// Danger: app servers are ever new, and what is kept of each grows without end. One goes once it is
     /// removed and nothing is out there. An old rate of answers is lost in rounding when all are added up.
     pub fn forget(&mut self, now: Micros) {
-        let goes = |s: &Server| s.told.state == MemberState::Out && s.out.is_empty();
+        let goes = |s: &Server| s.told.state == MemberState::Out && s.in_flight.is_empty();
         let gone: Vec<_> = self.off.values().copied().filter(|&slot| goes(&self.slots[slot])).collect();
         for slot in gone {
             let s = std::mem::take(&mut self.slots[slot]);
@@ -169,7 +170,7 @@
             self.free.push(slot);
         }
         let (many, slots) = (self.met.len() > LOOKS, &self.slots);
-        let counts = |s: &Server| !s.out.is_empty() || s.done.get(now, DONE_SPAN) > 1e-20;
+        let counts = |s: &Server| !s.in_flight.is_empty() || s.done.get(now, DONE_SPAN) > 1e-20;
         self.met.retain(|_, slot| !many || counts(&slots[*slot]));
     }
 }
