--- a/src/control.rs
+++ b/src/control.rs
@@ -145,8 +145,7 @@
         silent.into_iter().for_each(|key| self.eject(key));
         if now >= self.swept + SWEEP {
             self.swept = now;
-            let idle = if self.ask_share > 0.5 { LEASE_IDLE } else { Micros::MAX };
-            self.hand_back(idle, out);
+            self.hand_back(if self.ask_share > 0.5 { LEASE_IDLE } else { Micros::MAX }, out);
             self.forget();
             let known = |calls: &VecDeque<(_, Call)>| calls.back().is_some_and(|(_, c)| now < c.at + KEEP);
             self.expired.retain(|_, calls| known(calls));
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -144,8 +144,9 @@
             if known.is_none() || told(&m) != told(&s.told) {
                 self.touched += 1;
                 let old = groups(&std::mem::replace(&mut s.told, m));
-                old.iter().for_each(|group| _ = self.groups.remove(group));
-                let asked = |group: &(bool, u32, ServerId)| self.grouped[usize::from(group.0)];
+                let moved = known.is_none() || old != groups(&s.told);
+                old.iter().filter(|_| moved).for_each(|group| _ = self.groups.remove(group));
+                let asked = |group: &(bool, u32, ServerId)| moved && self.grouped[usize::from(group.0)];
                 self.groups.extend(groups(&s.told).into_iter().filter(asked));
             }
             if s.told.state == MemberState::In {
