Work out the delta between two lists of app servers

A whole list reaches the decisions as all its members, and they find out what differs on the thread that serves requests. What is known of an app server now holds all that the decisions know of it, so that the difference can be worked out elsewhere: `Endpoints::delta` gives what is new, changed or gone, in an order in which there are never fewer in service than at the start or at the end. Nothing uses it yet.

Two controllers, one told whole lists and one the deltas in pieces, keep the same servers over 60 seeded runs of six lists, a whole list finds nothing left that differs, and both send to all that are in service.

--- a/src/net/endpoints.rs
+++ b/src/net/endpoints.rs
@@ -11,25 +11,54 @@
 /// How a name gives a number.
 pub type Numbering = fn(&str) -> ServerId;
 
+/// What the list tells of an app server beside its name and address: all that the decisions know of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Attributes {
+    /// When it last started, in milliseconds of Unix time; 0: long ago.
+    pub since_ms: u64,
+    /// Its size beside the others'.
+    pub weight: f64,
+    /// Its zone, as the settings number it.
+    pub zone: u32,
+    /// Its kind of machine, as the settings number it.
+    pub kind: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub state: MemberState,
+}
+
+impl Attributes {
+    fn member(&self, server: ServerId) -> Member {
+        let Attributes { since_ms, weight, zone, kind, cell, state } = *self;
+        Member { server, zone, kind, cell, state, weight, started: since_ms.saturating_mul(1000) }
+    }
+}
+
 /// An app server as last told.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Endpoint {
     /// Its name, the same at every node.
     pub name: Arc<str>,
     /// Where it is.
     pub address: SocketAddr,
-    /// When it last started, in milliseconds of Unix time; 0: long ago.
-    pub since_ms: u64,
+    /// What else was told of it.
+    pub attributes: Attributes,
+}
+
+impl Endpoint {
     /// Whether it wants new work.
-    pub up: bool,
+    pub fn up(&self) -> bool {
+        self.attributes.state == MemberState::In
+    }
 }
 
 /// How a whole list differs from what was known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Difference {
-    /// App servers of which nothing has changed that concerns connections.
+    /// App servers of which nothing has changed.
     pub same: usize,
-    /// Those that moved, restarted, or changed between up and draining.
+    /// Those of which something has.
     pub changed: usize,
     /// Those not known before.
     pub added: usize,
@@ -71,15 +100,14 @@
         Places { zones: Ordered::new(zones), kinds: Ordered::new(kinds) }
     }
 
-    fn member(&self, server: ServerId, entry: &Entry) -> Member {
-        Member {
-            server,
+    fn attributes(&self, entry: &Entry) -> Attributes {
+        Attributes {
+            since_ms: entry.since_ms,
+            weight: entry.weight,
             zone: self.zones.place(&entry.zone),
             kind: self.kinds.place(&entry.kind),
             cell: entry.group,
             state: entry.state,
-            weight: entry.weight,
-            started: entry.since_ms.saturating_mul(1000),
         }
     }
 }
@@ -195,17 +223,18 @@
         let own = (self.numbering)(&entry.name);
         let known = self.find_at(&entry.name, own);
         let old = known.and_then(|server| self.all.get(&server));
+        let attributes = places.attributes(entry);
         if entry.state == MemberState::Out {
             let server = known?;
             self.remove(server);
             stale.push(server);
-            return Some(places.member(server, entry));
+            return Some(attributes.member(server));
         }
         let Some(address) = entry.address.or(old.map(|e| e.address)) else {
             faults.add(format_args!("{} has no usable address", entry.name));
             return None;
         };
-        let moved = old.is_none_or(|e| e.address != address || e.since_ms != entry.since_ms);
+        let moved = old.is_none_or(|e| (e.address, e.attributes.since_ms) != (address, entry.since_ms));
         let name = old.map_or(&entry.name, |e| &e.name).clone();
         let server = known.unwrap_or_else(|| self.free(own, self));
         if moved {
@@ -213,9 +242,8 @@
         }
         // Danger: a new app server may stand where one that has gone stood. Connections lead to the old one.
         stale.extend(self.at(address).filter(|&other| other != server));
-        let up = entry.state == MemberState::In;
-        self.insert(server, own, Endpoint { name, address, since_ms: entry.since_ms, up });
-        Some(places.member(server, entry))
+        self.insert(server, own, Endpoint { name, address, attributes });
+        Some(attributes.member(server))
     }
 
     /// What a long list of changes makes of these, worked out beside them.
@@ -250,18 +278,18 @@
         for (own, known, entry, address) in known.into_iter().chain(unknown) {
             let old = known.and_then(|server| self.all.get(&server));
             let server = known.unwrap_or_else(|| new.free(own, self));
+            let attributes = places.attributes(entry);
             if entry.state == MemberState::Out {
-                members.extend(known.map(|_| places.member(server, entry)));
+                members.extend(known.map(|_| attributes.member(server)));
                 continue;
             }
             let Some(address) = address.or(old.map(|e| e.address)) else {
                 faults.add(format_args!("{} has no usable address", entry.name));
                 continue;
             };
-            members.push(places.member(server, entry));
+            members.push(attributes.member(server));
             let name = old.map_or(&entry.name, |e| &e.name).clone();
-            let endpoint =
-                Endpoint { name, address, since_ms: entry.since_ms, up: entry.state == MemberState::In };
+            let endpoint = Endpoint { name, address, attributes };
             match old {
                 None => difference.added += 1,
                 Some(old) if *old == endpoint => difference.same += 1,
@@ -276,6 +304,36 @@
         new.by_address = new.by_address.into_iter().collect();
         Renewed { endpoints: new, members, stale: Vec::new(), difference, faults }
     }
+
+    /// The delta that leads from `before` to these, as the decisions have to be told of it: app servers that are
+    /// new, changed, or gone, with what was told of them last. What has changed goes before what has gone, since its
+    /// attempts follow the new list at once; both are in the order of ids, and before each stands one that comes into
+    /// service, as long as there are any. Danger: told first of all that leave, the decisions would have nowhere to
+    /// send to until the others come. So there are never fewer in service than at the start or at the end.
+    pub fn delta(&self, before: &Endpoints) -> Vec<Member> {
+        let (mut coming, mut others) = (Vec::new(), Vec::new());
+        for (&server, endpoint) in &self.all {
+            let old = before.all.get(&server);
+            if old.is_some_and(|old| old.attributes == endpoint.attributes) {
+                continue;
+            }
+            let comes = endpoint.up() && !old.is_some_and(Endpoint::up);
+            let kind = if comes { &mut coming } else { &mut others };
+            kind.push(endpoint.attributes.member(server));
+        }
+        let gone = before.all.iter().filter(|(server, _)| !self.all.contains_key(server));
+        let out =
+            |(&server, e): (_, &Endpoint)| Member { state: MemberState::Out, ..e.attributes.member(server) };
+        others.extend(gone.map(out));
+        let mut delta = Vec::with_capacity(coming.len() + others.len());
+        let mut coming = coming.into_iter();
+        for member in others {
+            delta.extend(coming.next());
+            delta.push(member);
+        }
+        delta.extend(coming);
+        delta
+    }
 }
 
 /// An app server's number, from its name alone so that all nodes agree on it and on the order of all: FNV-1a of
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -72,7 +72,7 @@
 
 impl Pool {
     fn fits(&self, endpoint: &Endpoint) -> bool {
-        self.address == endpoint.address && self.since_ms == endpoint.since_ms
+        self.address == endpoint.address && self.since_ms == endpoint.attributes.since_ms
     }
 }
 
@@ -160,7 +160,7 @@
         self.let_go(&stale);
         let pools = self.pools.borrow();
         for (&server, pool) in pools.iter() {
-            if !endpoints.get(server).is_some_and(|e| e.up) {
+            if !endpoints.get(server).is_some_and(Endpoint::up) {
                 pool.idle.borrow_mut().clear();
             }
         }
@@ -182,7 +182,7 @@
         self.let_go(stale);
         self.pools.borrow_mut().retain(|&server, pool| {
             let endpoint = endpoints.get(server).filter(|e| pool.fits(e));
-            if !endpoint.is_some_and(|e| e.up) {
+            if !endpoint.is_some_and(Endpoint::up) {
                 pool.idle.borrow_mut().clear();
             }
             // Danger: a new app server may stand where one that has gone stood. Connections lead to the old one.
@@ -317,7 +317,8 @@
     /// The pool of an app server that wants new work.
     fn pool(&self, server: ServerId) -> Option<Rc<Pool>> {
         let endpoints = self.endpoints.borrow();
-        let &Endpoint { address, since_ms, .. } = endpoints.get(server).filter(|e| e.up)?;
+        let Endpoint { address, attributes, .. } = endpoints.get(server).filter(|e| e.up())?;
+        let (address, since_ms) = (*address, attributes.since_ms);
         let new = || {
             let (host, idle) = (host_header(address), RefCell::default());
             Rc::new(Pool { address, since_ms, host, idle })
@@ -327,7 +328,7 @@
 
     /// Whether connections of this pool still lead to an app server that wants new work.
     fn is_current(&self, server: ServerId, pool: &Rc<Pool>) -> bool {
-        self.endpoints.borrow().get(server).is_some_and(|e| e.up)
+        self.endpoints.borrow().get(server).is_some_and(Endpoint::up)
             && self.pools.borrow().get(&server).is_some_and(|p| Rc::ptr_eq(p, pool))
     }
 
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -3,14 +3,13 @@
 mod fakes;
 
 use std::collections::BTreeSet;
-use std::time::Duration;
-
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fakes::*;
 use mountbend::control::Controller;
-use mountbend::interface::{MemberState, ServerId, Settings};
+use mountbend::interface::*;
 use mountbend::net::budget::Budget;
 use mountbend::net::counter::Counter;
 use mountbend::net::discovery::{Discovery, Pace, LIST_MOST};
@@ -110,8 +109,8 @@
         let all: Vec<Value> = (0..60)
             .filter_map(|n| known.get(known.find(&name(n))?))
             .map(|e| {
-                let mut entry = entry(&e.name, e.address, "a", if e.up { "up" } else { "draining" });
-                entry["since_ms"] = json!(e.since_ms);
+                let mut entry = entry(&e.name, e.address, "a", if e.up() { "up" } else { "draining" });
+                entry["since_ms"] = json!(e.attributes.since_ms);
                 entry
             })
             .collect();
@@ -147,7 +146,7 @@
     assert_eq!(states, BTreeSet::from([(number(&name(1)), false), (number(&name(2)), true)]));
     assert_eq!(list.members.len(), 2);
     let first = list.endpoints.get(number(&name(1))).expect("placed by the earlier entry");
-    assert!(!first.up && first.address.port() == 9);
+    assert!(!first.up() && first.address.port() == 9);
 }
 
 #[test]
@@ -187,6 +186,108 @@
     assert_eq!((told.members.len(), told.faults.count()), (0, 1), "of entries for one name only one counts");
 }
 
+/// Entries, each with a size, a place, a start and a state drawn by lot, so that few are as they were.
+fn drawn(random: &mut fastrand::Rng, most: usize) -> Vec<Value> {
+    let states = ["up", "up", "up", "draining", "removed"];
+    let count = random.usize(..2 * most);
+    let each = |_| {
+        let mut e = numbered(random.usize(..most), states[random.usize(..5)]);
+        e["zone"] = json!(["a", "b"][random.usize(..2)]);
+        (e["group"], e["since_ms"]) = (json!(random.u32(..2)), json!(random.u32(..2)));
+        e["weight"] = json!(1 + random.u32(..2));
+        e
+    };
+    (0..count).map(each).collect()
+}
+
+/// The decisions of a node that is alone with its servers, and asks each of them.
+fn decisions() -> Controller {
+    let class = Class { on_time: 1 << 40, deadline: 1 << 41, ..Class::default() };
+    let limits = Limits { try_limit: 4, ..Limits::default() };
+    let set = Settings {
+        nodes: 1,
+        classes: vec![class],
+        plans: vec![Plan::default()],
+        limits,
+        ..Settings::default()
+    };
+    Controller::new(7, set)
+}
+
+fn hear(decisions: &mut Controller, kind: ListKind, entries: Vec<Member>) {
+    decisions.handle(1_000_000, Event::Members { kind, entries }, &mut Vec::new());
+}
+
+/// Where it sends requests that stay out.
+fn sends(decisions: &mut Controller, requests: usize) -> BTreeSet<ServerId> {
+    let mut actions = Vec::new();
+    for number in 0..requests {
+        let id = RequestId::from(format!("r{number}").as_str());
+        let (customer, due) = (CustomerId(1), 1 << 41);
+        let (class, plan, units, first_node, spread, marked_retry) = (0, 0, 1.0, 0, 1, false);
+        let new = NewRequest { id, customer, class, plan, units, first_node, spread, marked_retry, due };
+        decisions.handle(1_000_000, Event::Request(new), &mut actions);
+    }
+    let sent = |action| if let Action::Send { server, .. } = action { Some(server) } else { None };
+    actions.into_iter().filter_map(sent).collect()
+}
+
+#[test]
+fn the_decisions_know_the_same_from_parts_of_a_delta_as_from_the_whole_list() {
+    let places = Places::new(vec!["a".into(), "b".into()], vec!["m1".into()]);
+    for seed in 0..60 {
+        let random = &mut fastrand::Rng::with_seed(seed);
+        let (mut whole, mut told) = (decisions(), decisions());
+        let mut known = Endpoints::default();
+        for _ in 0..6 {
+            let list = read(&drawn(random, 40));
+            let next = known.renewed(list.entries(), &places);
+            hear(&mut whole, ListKind::Whole, next.members.clone());
+            for part in next.endpoints.delta(&known).chunks(1 + random.usize(..9)) {
+                hear(&mut told, ListKind::Changes, part.to_vec());
+            }
+            assert_eq!((told.kept(), told.kept().1), (whole.kept(), next.endpoints.len()));
+            // The whole list finds nothing left that differs, beside what it tells again to have gone.
+            let (_, touched) = told.work();
+            let listed = next.members.into_iter().filter(|m| m.state != MemberState::Out).collect();
+            hear(&mut told, ListKind::Whole, listed);
+            assert_eq!((told.work().1, told.kept()), (touched, whole.kept()), "seed {seed}");
+            known = next.endpoints;
+        }
+        let up =
+            (0..40).filter_map(|n| known.find(&name(n))).filter(|&s| known.get(s).is_some_and(|e| e.up()));
+        let up: BTreeSet<_> = up.collect();
+        assert_eq!((&sends(&mut told, 400), &sends(&mut whole, 400)), (&up, &up), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_delta_holds_what_the_decisions_know_otherwise_and_nothing_else_at_any_size() {
+    for size in SIZES {
+        let mut entries: Vec<Value> = (0..size).map(|n| numbered(n, "up")).collect();
+        let first = whole(&Endpoints::default(), &entries).endpoints;
+        assert!(first.delta(&whole(&first, &entries).endpoints).is_empty());
+        entries[3]["address"] = json!("127.0.0.1:9");
+        let fields =
+            [("zone", json!("z")), ("type", json!("m2")), ("group", json!(2)), ("weight", json!(2.5))];
+        let states = [("since_ms", json!(5)), ("status", json!("draining"))];
+        for (at, (field, value)) in fields.into_iter().chain(states).enumerate() {
+            entries[4 + at][field] = value;
+        }
+        let gone = std::mem::replace(&mut entries[20], numbered(size, "up"));
+        let next = whole(&first, &entries).endpoints;
+        let delta = next.delta(&first);
+        let ids: BTreeSet<_> = delta.iter().map(|m| m.server).collect();
+        let named = (4..10).chain([20, size]).map(|n| number(&name(n)));
+        assert_eq!((ids, delta.len()), (named.collect(), 8));
+        let out = delta.iter().find(|m| m.state == MemberState::Out).expect("one that has gone");
+        assert_eq!(
+            (out.server, out.zone, out.cell),
+            (number(&name(20)), 0, gone["group"].as_u64().unwrap() as u32)
+        );
+    }
+}
+
 fn list(index: u64, entries: &[Value]) -> Value {
     json!({"index": index, "snapshot": true, "endpoints": entries})
 }
