Let half of the nodes of a hollow fleet vanish and come back

Cause: docs/CAPACITY.md lists half of the nodes down as not measured; the rig knew a tenth that restarts at once and a zone, no failure that takes most of a customer's set. The figure `no_node` tells how many requests found no node of their customer's set at their first try, which no decision of the nodes left can mend. Tests count the nodes left to each app server (12.0 of 24 in the mean) and what is lost.

--- a/crates/scale-rig/src/fleet/faults.rs
+++ b/crates/scale-rig/src/fleet/faults.rs
@@ -22,6 +22,8 @@
     Rack,
     /// A zone's servers and nodes vanish silently and return cold
     Zone,
+    /// Half of the nodes, drawn by lot, vanish silently and start again with empty state and an old list
+    HalfDown,
     /// A region's nodes can't reach the other regions' servers, and the other way round
     RegionCut,
     /// The counter takes calls in and says nothing
@@ -104,7 +106,14 @@
                 self.broken_nodes = (0..self.nodes.len()).filter(|&n| self.nodes[n].zone == zone).collect();
                 self.broken_nodes.clone().into_iter().for_each(|node| self.node_down(node, true));
             }
-            (Fail::Rack | Fail::Zone, Step::End) => {
+            (Fail::HalfDown, Step::Begin) => {
+                let mut order: Vec<usize> = (0..self.nodes.len()).collect();
+                order.shuffle(&mut self.random);
+                order.truncate(self.nodes.len() / 2);
+                order.iter().for_each(|&node| self.node_down(node, true));
+                self.broken_nodes = order;
+            }
+            (Fail::Rack | Fail::Zone | Fail::HalfDown, Step::End) => {
                 for server in std::mem::take(&mut self.broken) {
                     self.come_back(server);
                 }
--- a/crates/scale-rig/src/fleet/figures.rs
+++ b/crates/scale-rig/src/fleet/figures.rs
@@ -30,6 +30,7 @@
     refused_inside: f64,
     on_time: f64,
     lost_tries: f64,
+    no_node: f64,
     let_in: f64,
     beyond: f64,
     attempts: f64,
@@ -62,6 +63,7 @@
             refused_inside: 0.0,
             on_time: 0.0,
             lost_tries: 0.0,
+            no_node: 0.0,
             let_in: 0.0,
             beyond: 0.0,
             attempts: 0.0,
@@ -132,6 +134,11 @@
         self.lost_tries += f64::from(u8::from(self.measured(now)));
     }
 
+    /// A first try of the time measured for which the front saw every node of the customer's set down.
+    pub fn no_node(&mut self) {
+        self.no_node += 1.0;
+    }
+
     /// A try under a quota that was sent on, inside it or not.
     pub fn let_in(&mut self, units: f64, inside: bool) {
         self.let_in += units;
@@ -219,6 +226,7 @@
     }
     report.add("refused_inside", ratio(f.refused_inside, f.inside), "share of requests inside quotas");
     report.add("lost_tries", f.lost_tries, "tries");
+    report.add("no_node", ratio(f.no_node, f.requests), "share of requests, at their first try");
     report.add("on_time", ratio(f.on_time, f.ends[0]), "share of served");
     report.add("let_in_beyond", f.beyond, "units");
     report.add("let_in_beyond_share", ratio(f.beyond, f.let_in), "share of units let in under quotas");
--- a/crates/scale-rig/src/fleet/world.rs
+++ b/crates/scale-rig/src/fleet/world.rs
@@ -512,6 +512,9 @@
             })
             .collect();
         if admitted.is_empty() {
+            if client.measured && client.tries == 1 {
+                self.figures.no_node();
+            }
             return self.again(client, None, Final::Failed);
         }
         let node = admitted[self.random.random_range(0..admitted.len())];
--- a/crates/scale-rig/tests/fleet.rs
+++ b/crates/scale-rig/tests/fleet.rs
@@ -70,6 +70,42 @@
     assert_eq!(get(&some, "nodes_per_server"), 21.5);
 }
 
+/// Each of the 96 app servers is in 24 subsets of 48; with half of the nodes down it is in 12 in the mean. They are
+/// drawn by lot, and a stretch of the ring may lose most of its nodes, but none is left without.
+#[test]
+fn with_half_of_the_nodes_down_each_server_still_has_nodes_and_no_client_waits_for_a_dead_one() {
+    let sizes = "--nodes 48 --servers 96 --rate 720 --work-ms 120 --work-spread 0 --cores 8";
+    let flat = "--delay-region-us 150 --delay-far-us 150 --warm-ms 4000 --measured-ms 12000";
+    let down = "--fail half-down --fail-at-ms 1000 --fail-for-ms 60000";
+    // The front sees at once who is down: only what the dead held is lost.
+    let r = run(&format!("{sizes} {flat} {down} --front-notice-ms 0"));
+    assert_eq!(get(&r, "nodes_per_server"), 12.0);
+    let (least, most) = (get(&r, "nodes_per_server_least"), get(&r, "nodes_per_server_most"));
+    assert!(least >= 6.0 && most <= 18.0, "{least} to {most}");
+    let nodes = (get(&r, "servers_per_node_least"), get(&r, "servers_per_node_most"));
+    assert_eq!(nodes, (0.0, 48.0));
+    let lost_at_once = get(&r, "lost_tries");
+    assert!(lost_at_once > 0.0);
+    // A customer whose whole set is down has nowhere to go; with a set of all nodes none is turned away so.
+    assert!(get(&r, "no_node") > 0.1, "{}", get(&r, "no_node"));
+    let wide = run(&format!("{sizes} {flat} {down} --front-notice-ms 0 --spread 48"));
+    assert_eq!(get(&wide, "no_node"), 0.0);
+    // Until the front sees it, each try that goes to a dead node is lost.
+    let late = run(&format!("{sizes} {flat} {down}"));
+    assert!(get(&late, "lost_tries") > 4.0 * lost_at_once, "{} of {lost_at_once}", get(&late, "lost_tries"));
+}
+
+#[test]
+fn nodes_that_vanished_come_back_and_serve_as_before() {
+    let r =
+        run(&format!("{SMALL} --measured-ms 16000 --fail half-down --fail-at-ms 2000 --fail-for-ms 4000"));
+    assert_eq!(get(&r, "well_again"), 1.0);
+    let after = get(&r, "well_again_after");
+    assert!((4.0..=8.0).contains(&after), "{after} s, of which 4 down and 1.5 at most to start");
+    assert!(get(&r, "servers_per_node_least") > 0.0);
+    assert_eq!(get(&r, "cold_started"), 0.0);
+}
+
 #[test]
 fn a_silent_counter_is_survived_and_a_small_one_shows() {
     let calm = run(&format!("{SMALL} --measured-ms 14000"));
