Serve requests whose bodies come in chunks

Cause: every body in chunks was answered with 400, to keep out requests that name a length as well and hide another behind it. But a body in chunks is a form of HTTP/1.1 that clients may choose. Change: a body in chunks alone is taken in, within the bound on bodies, and goes on with its length. One that names a length too (hyper drops it, so the raw head is asked), any other encoding, or the header twice is refused as before. The answer closes the connection, and nothing behind the request is read.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -221,11 +221,12 @@
                     idle.head_since.set(None);
                     let body = request.body().size_hint().exact();
                     let body = body.and_then(|length| usize::try_from(length).ok());
-                    idle.pipeline.borrow_mut().opened(body);
+                    let length = idle.pipeline.borrow_mut().opened(body);
+                    let framing = Framing::of(request.headers(), length);
                     idle.end();
                     let mut response = tokio::select! {
                         biased;
-                        response = clients.answer(request) => response,
+                        response = clients.answer(request, framing) => response,
                         () = left(&stream) => {
                             idle.cut.notify_one();
                             // The connection, and this with it, is dropped for that.
@@ -293,8 +294,8 @@
         });
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let (mut response, last) = match self.serve(request).await {
+    async fn answer(&self, request: Request<Incoming>, framing: Framing) -> Response<Full<Bytes>> {
+        let (mut response, last) = match self.serve(request, framing).await {
             Ok(Answer::Served(body)) => (Response::new(Full::new(body)), false),
             Ok(Answer::Refused(wait)) => (refused(wait), false),
             Ok(Answer::Failed) => (plain(StatusCode::BAD_GATEWAY, ""), false),
@@ -302,14 +303,15 @@
                 (plain(status, why), status.is_client_error() && status != StatusCode::CONFLICT)
             }
         };
-        // Danger: behind a request that can't be trusted may lie another that its sender hid there.
-        if last || self.node.stopping() {
+        // Danger: behind a request that can't be trusted may lie another that its sender hid there. Where a body in
+        // chunks ends in what was read ahead is not followed, so nothing is read behind one, either.
+        if last || framing == Framing::Chunked || self.node.stopping() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Result<Answer, Rejected> {
+    async fn serve(&self, request: Request<Incoming>, framing: Framing) -> Result<Answer, Rejected> {
         let now = self.node.clock.now();
         let (head, body) = request.into_parts();
         if head.uri.path() == "/up" {
@@ -318,10 +320,8 @@
                 _ => Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "GET alone is served here\n")),
             };
         }
-        // Danger: of a request with a length as well the length is gone by now; a body in chunks may hide another
-        // request. The protocol's bodies have a length.
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return Err(bad("bodies come with a length, in no transfer encoding\n"));
+        if framing == Framing::Doubtful {
+            return Err(bad("a body has a length or comes in chunks, not both and in no other encoding\n"));
         }
         let new = self.read(&head.method, head.uri.path(), head.uri.query(), &head.headers, now)?;
         let last_call = self.node.last_call(new.due);
@@ -439,6 +439,32 @@
     }
 }
 
+/// How a request's body ends.
+#[derive(Clone, Copy, PartialEq)]
+enum Framing {
+    /// By its length, or there is none.
+    Length,
+    /// By its last chunk.
+    Chunked,
+    /// Danger: a body in chunks that has a length as well may hide another request, and what comes in another encoding
+    /// is not what an app server would read.
+    Doubtful,
+}
+
+impl Framing {
+    /// Of a head, and whether it names a length.
+    fn of(headers: &HeaderMap, length: bool) -> Self {
+        let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+        match (encodings.next(), encodings.next()) {
+            (None, _) => Framing::Length,
+            (Some(only), None) if !length && only.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+                Framing::Chunked
+            }
+            _ => Framing::Doubtful,
+        }
+    }
+}
+
 /// A whole number in digits alone.
 fn whole_number<T: FromStr>(text: &str) -> Option<T> {
     text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
--- a/src/net/pipeline.rs
+++ b/src/net/pipeline.rs
@@ -36,19 +36,20 @@
     }
 
     /// The next request has been opened, with a body of so many bytes; none where its end can't be known, after
-    /// which nothing is served any more.
-    pub fn opened(&mut self, body: Option<usize>) {
+    /// which nothing is served any more. Tells whether its head names a length, or may: of a body in chunks hyper has
+    /// dropped that by now.
+    pub fn opened(&mut self, body: Option<usize>) -> bool {
         self.skip_line_ends();
-        match head_end(&self.ahead) {
-            Some(end) => self.ahead.advance(end),
-            None => self.ahead.clear(),
-        }
+        let end = head_end(&self.ahead);
+        let length = end.is_none_or(|end| names_length(&self.ahead[..end]));
+        self.ahead.advance(end.unwrap_or(self.ahead.len()));
         self.body = body;
         if let Some(body) = &mut self.body {
             let own = self.ahead.len().min(*body);
             self.ahead.advance(own);
             *body -= own;
         }
+        length
     }
 
     /// Whether some of a further request has come. Empty lines before it say nothing.
@@ -70,3 +71,10 @@
         _ => None,
     })
 }
+
+/// Whether a line of this head is a `Content-Length`. Names end at their colon: hyper refuses a space before it.
+fn names_length(head: &[u8]) -> bool {
+    const NAME: &[u8] = b"content-length:";
+    head.split(|&byte| byte == b'\n')
+        .any(|line| line.get(..NAME.len()).is_some_and(|name| name.eq_ignore_ascii_case(NAME)))
+}
