Have clients of a full node send before it takes them in

Cause: nine clients connected first and sent afterwards, one after another. With all nine slots taken the node looks for a tenth and closes a connection that has been silent for 50 ms. On a busy machine that was one which the test had not come to write on, and its request never arrived. Clients that wait for another one's answer before they send, or that connect to a full node just before they send, had the same gap.

Change: the tests suspend the node's process, wait until the machine says that it is suspended, connect the clients and write all their bytes, and resume it. The machine completes the handshakes in the backlog, and the node finds each connection with its bytes.

--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -586,6 +586,42 @@
         Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream }
     }
 
+    /// Clients that have each connected and sent their text before the node takes in the first of them. Danger: with
+    /// all descriptors taken the node closes a connection that stays silent, and on a busy machine that may be one
+    /// which the test has not come to write on. While the node is suspended the machine completes the handshakes in
+    /// its backlog, and the node finds each connection with its bytes.
+    pub fn clients_that_have_sent<const N: usize>(&self, texts: [impl AsRef<str>; N]) -> [Client; N] {
+        self.while_suspended(|| {
+            texts.map(|text| {
+                let mut client = self.client();
+                client.raw(text.as_ref());
+                client
+            })
+        })
+    }
+
+    /// Does this while the node's process is suspended. It must not wait for anything that the node does. If it
+    /// panics the node is killed, which needs no resuming.
+    pub fn while_suspended<T>(&self, act: impl FnOnce() -> T) -> T {
+        self.signal("STOP");
+        // Danger: the signal is only sent by now, and the process may still run.
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let text = std::fs::read_to_string(&stat).expect("the node runs");
+            // The state stands behind the name, which may hold anything.
+            let (_, rest) = text.rsplit_once(") ").expect("a name");
+            if rest.starts_with('T') {
+                break;
+            }
+            assert!(Instant::now() < until, "the node is not suspended: {text}");
+            std::thread::yield_now();
+        }
+        let done = act();
+        self.signal("CONT");
+        done
+    }
+
     /// Replaces the configuration and says so.
     pub fn reload(&self, config: &str) {
         let next = self.path.with_extension("next");
