Take a request off those that wait for an endpoint also if its account is forgotten

Callers saw: a request id used again after its client had disconnected was sent to endpoints twice, also of a class that is not idempotent, where the first had waited for an endpoint for longer than its account is kept (6 s). Cause: return_unused took the place among the waiting requests away only if the quotas still kept the account. The queue for the counter was looked at: an account with a queue is kept, so it has no such fault.

--- a/src/decision/attempts/final_response.rs
+++ b/src/decision/attempts/final_response.rs
@@ -54,15 +54,13 @@
         }
     }
 
-    /// Returns the units of a request that never ran, and its places among those that wait, if its account
-    /// is kept.
+    /// Returns the units of a request that never ran, and takes it out of the requests that wait for the counter
+    /// or for an endpoint.
     fn return_unused(&mut self, id: &RequestId) {
         let Some(pending) = self.pending.get(id) else { return };
-        let account = pending.request.account;
-        if self.quota.contains(account) {
-            self.quota.return_unused(account, id, pending.drawn_units);
-            self.pending.stop_waiting_for_endpoint(id);
-        }
+        self.quota.return_unused(pending.request.account, id, pending.drawn_units);
+        // Also where the account is forgotten: a request that waits for an endpoint does not keep it.
+        self.pending.stop_waiting_for_endpoint(id);
     }
 }
 
