Test recovering endpoints by keyed and non-idempotent requests too

Callers saw: a node whose requests were all keyed or all POST answered 503 to each after a short fault of all its endpoints, until its restart; with some at fault those never got traffic again. Cause: only safe classes might test an endpoint after its ejection (may_test_recovery); others passed it over altogether, so an endpoint whose ejection was over ranked behind one still ejected. Change: balancer/recovery.rs has the rule: one test at a time, safe requests first, keyed and non-idempotent ones after half and all of the latest ejection's length again and within a tenth of the requests; with no endpoint available a recovering one takes any request.

--- a/src/decision/balancer/endpoint.rs
+++ b/src/decision/balancer/endpoint.rs
@@ -35,6 +35,8 @@
     pub connection_resets: u32,
     /// It is ejected until then.
     pub ejected_until: Micros,
+    /// When an attempt at it last began while it was recovering.
+    pub recovery_tested_at: Micros,
     /// What it may be sent while it warms up, on the count of `SlowStart`.
     pub slow_start: TokenBucket,
 }
@@ -50,6 +52,7 @@
         self.consecutive_ejections = 0;
         self.connection_resets = 0;
         self.ejected_until = 0;
+        self.recovery_tested_at = 0;
         self.slow_start = slow_start;
         self.latency = latency;
     }
--- a/src/decision/balancer/mod.rs
+++ b/src/decision/balancer/mod.rs
@@ -1,7 +1,7 @@
 //! Load balancing: which endpoint an attempt is sent to, by subset, health, warm-up and cost.
 //!
 //! Reading order: this file, then `selection` (the rules for one endpoint), then `subset`, `slow_start`,
-//! `outlier_detection` and `cost`, each with one of the rules. `endpoint` and `endpoint_table` hold the
+//! `outlier_detection`, `recovery` and `cost`, each with one of the rules. `endpoint` and `endpoint_table` hold the
 //! state.
 
 mod cost;
@@ -11,6 +11,7 @@
 mod failure_shares;
 mod latency_estimator;
 mod outlier_detection;
+mod recovery;
 mod selection;
 mod slow_start;
 mod subset;
@@ -25,6 +26,7 @@
 use failure_shares::{failure_samples, FailureShares};
 use latency_estimator::LatencyEstimator;
 use outlier_detection::{no_response_since, OutlierDetector};
+use recovery::RecoveryTestBudget;
 use selection::{Candidate, Selector};
 use slow_start::{warm_fraction, SlowStart};
 use subset::Subset;
@@ -59,6 +61,24 @@
     pub endpoint: EndpointId,
     /// The share of its full capacity that it has at least, 0 to 1.
     pub warm_fraction: f64,
+    /// The test of a recovering endpoint that the attempt is, if it is one.
+    recovery_test: Option<RecoveryTest>,
+}
+
+/// A test of a recovering endpoint, by the idempotency of the request.
+#[derive(Clone, Copy, PartialEq)]
+enum RecoveryTest {
+    OfSafeRequest,
+    OfOtherRequest,
+}
+
+impl RecoveryTest {
+    fn of(idempotency: Idempotency) -> Self {
+        match idempotency {
+            Idempotency::Safe => RecoveryTest::OfSafeRequest,
+            Idempotency::Keyed | Idempotency::NonIdempotent => RecoveryTest::OfOtherRequest,
+        }
+    }
 }
 
 /// An ended attempt as a sample of the health and speed of its endpoint.
@@ -88,6 +108,7 @@
     /// How attempts end over the fleet.
     fleet_failures: FailureShares,
     outlier_detector: OutlierDetector,
+    recovery_tests: RecoveryTestBudget,
     slow_start: SlowStart,
 }
 
@@ -121,9 +142,8 @@
     /// Selects the endpoint where an attempt should do best, if any may be sent it.
     ///
     /// The endpoints of the node's subset are examined; of a short list all of it. An endpoint is passed over
-    /// when deduplication binds the request to others, or when it is warming up and not due a request. A
-    /// recovering endpoint takes one request of a safe class at a time; others pass it over, since a failed
-    /// test request of another class could not be sent again. Of those left the best is selected by
+    /// when deduplication binds the request to others, when it is warming up and not due a request, or when it
+    /// is recovering and the attempt that tests it is in flight. Of those left the best is selected by
     /// availability, membership in the subset, warm-up and cost, in this order. If none is available,
     /// endpoints beyond the subset are examined as well.
     pub fn select(
@@ -140,7 +160,11 @@
         if subset.leaves_a_rest() && !best.as_ref().is_some_and(Candidate::is_available) {
             best = selector.or_better_of_rest(best, random);
         }
-        best.map(|best| Selection { endpoint: best.endpoint, warm_fraction: best.warm_fraction })
+        best.map(|best| Selection {
+            endpoint: best.endpoint,
+            warm_fraction: best.warm_fraction,
+            recovery_test: best.is_recovery_test.then_some(RecoveryTest::of(selector.idempotency)),
+        })
     }
 
     fn subset(&self, settings: &Settings, now: Micros) -> Subset {
@@ -180,19 +204,27 @@
                 .first_possible_run
                 .and_then(|placement| DeduplicationGroup::binding(class, placement)),
             exclude: request.exclude,
-            may_test_recovery: class.idempotency == Idempotency::Safe,
+            idempotency: class.idempotency,
+            recovery_tests: &self.recovery_tests,
         }
     }
 
     /// A request has been passed on to an endpoint, or waits for one.
     pub fn request_launched(&mut self) {
         self.slow_start.request_launched();
+        self.recovery_tests.deposit();
     }
 
     /// An attempt starts at the selected endpoint. None if the endpoint is not known any more.
     pub fn attempt_started(&mut self, selection: Selection, now: Micros) -> Option<Placement> {
         let endpoint = self.endpoints.attempt_started(selection.endpoint, now)?;
         self.slow_start.charge(endpoint, selection.warm_fraction);
+        if selection.recovery_test.is_some() {
+            endpoint.recovery_tested_at = now;
+        }
+        if selection.recovery_test == Some(RecoveryTest::OfOtherRequest) {
+            self.recovery_tests.withdraw();
+        }
         Some(Placement { zone: endpoint.entry.zone, cell: endpoint.entry.cell })
     }
 
--- a/src/decision/balancer/outlier_detection.rs
+++ b/src/decision/balancer/outlier_detection.rs
@@ -1,4 +1,5 @@
-//! Outlier detection: which endpoints are ejected, for how long, and how an ejected one is tried again.
+//! Outlier detection: which endpoints are ejected, and for how long. `recovery` says how an ejected one is
+//! tried again.
 
 use super::endpoint::Endpoint;
 use super::failure_shares::FAILURE_TIME_CONSTANT;
@@ -9,6 +10,8 @@
 /// First ejection; each further one without a success in between is twice as long, up to the longest.
 const FIRST_EJECTION: Micros = 400_000;
 const LONGEST_EJECTION: Micros = 6_400_000;
+/// The ejection time is doubled no more often; it is at the longest by then.
+const MAX_EJECTION_DOUBLINGS: u32 = 8;
 /// Consecutive connection resets eject an endpoint when so many would come by chance, at the fleet's own
 /// share of resets, less often than this...
 const MAX_RESET_PROBABILITY: f64 = 0.01;
@@ -22,7 +25,8 @@
 pub(super) enum Health {
     /// It is healthy as far as is known.
     Healthy,
-    /// Its ejection is over, and it has not succeeded since: a single attempt shows whether it has recovered.
+    /// Its ejection is over, and it has not succeeded since: a single attempt shows whether it has recovered
+    /// (`recovery`).
     Recovering,
     /// It is ejected or unresponsive.
     Unavailable,
@@ -92,9 +96,14 @@
         if self.is_ejected(now) {
             return;
         }
-        let doublings = self.consecutive_ejections.min(8);
-        self.ejected_until = now + (FIRST_EJECTION << doublings).min(LONGEST_EJECTION);
         self.consecutive_ejections += 1;
+        self.ejected_until = now + self.latest_ejection_time();
+    }
+
+    /// How long its latest ejection lasts; the first one, if it was never ejected.
+    pub(super) fn latest_ejection_time(&self) -> Micros {
+        let doublings = self.consecutive_ejections.saturating_sub(1).min(MAX_EJECTION_DOUBLINGS);
+        (FIRST_EJECTION << doublings).min(LONGEST_EJECTION)
     }
 
     /// Whether it is unresponsive though requests wait: since its last response, the oldest attempt in flight
--- a/src/decision/balancer/selection.rs
+++ b/src/decision/balancer/selection.rs
@@ -5,15 +5,18 @@
 use super::endpoint::Endpoint;
 use super::endpoint_table::EndpointTable;
 use super::outlier_detection::Health;
+use super::recovery::RecoveryTestBudget;
 use super::slow_start::{self, SlowStart};
 use super::subset::Subset;
 use crate::decision::estimators::RandomSource;
-use crate::decision::{EndpointId, Micros, Settings};
+use crate::decision::{EndpointId, Idempotency, Micros, Settings};
 
 /// Whether an endpoint is expected to respond. The lesser is preferred.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Availability {
     Available,
+    /// It is recovering, and the request may not test it: it gets the request only if nothing is available.
+    Untested,
     Unavailable,
 }
 
@@ -47,6 +50,8 @@
 pub(super) struct Candidate {
     pub endpoint: EndpointId,
     pub warm_fraction: f64,
+    /// The endpoint is recovering: the attempt shows whether it serves again.
+    pub is_recovery_test: bool,
     preference: Preference,
 }
 
@@ -81,8 +86,10 @@
     pub bound_to: Option<DeduplicationGroup>,
     /// An endpoint that is not to be selected.
     pub exclude: Option<EndpointId>,
-    /// Whether a request of this class may show if an endpoint has recovered.
-    pub may_test_recovery: bool,
+    /// The idempotency of the request's class.
+    pub idempotency: Idempotency,
+    /// The tests of recovering endpoints that requests which are not safe have left.
+    pub recovery_tests: &'a RecoveryTestBudget,
 }
 
 impl Selector<'_> {
@@ -134,17 +141,20 @@
             return None;
         }
         let health = endpoint.health(self.latency_bound, self.now);
-        if health == Health::Recovering && !self.may_send_recovery_attempt(endpoint) {
-            return None;
-        }
+        let availability = self.availability(endpoint, health)?;
         let location = self.location(endpoint, position);
         let preference = Preference {
-            availability: availability(health),
+            availability,
             location,
             precedence: precedence(endpoint, location, warm_fraction),
             cost: self.cost_model.cost(endpoint, warm_fraction, random),
         };
-        Some(Candidate { endpoint: endpoint.entry.id, warm_fraction, preference })
+        Some(Candidate {
+            endpoint: endpoint.entry.id,
+            warm_fraction,
+            is_recovery_test: health == Health::Recovering,
+            preference,
+        })
     }
 
     /// Whether the attempt may go to an endpoint at all.
@@ -153,10 +163,18 @@
         in_bounds && Some(endpoint.entry.id) != self.exclude
     }
 
-    /// Whether this attempt may be the one that shows if an endpoint has recovered: a single one that does no
-    /// harm if it fails.
-    fn may_send_recovery_attempt(&self, endpoint: &Endpoint) -> bool {
-        self.may_test_recovery && !endpoint.has_recovery_attempt_in_flight()
+    /// Whether the endpoint is expected to respond to this attempt; none if it may not be sent it, since the
+    /// attempt that shows if it has recovered is in flight.
+    fn availability(&self, endpoint: &Endpoint, health: Health) -> Option<Availability> {
+        match health {
+            Health::Healthy => Some(Availability::Available),
+            Health::Unavailable => Some(Availability::Unavailable),
+            Health::Recovering if endpoint.has_recovery_attempt_in_flight() => None,
+            Health::Recovering if self.recovery_tests.allows_test(endpoint, self.idempotency, self.now) => {
+                Some(Availability::Available)
+            }
+            Health::Recovering => Some(Availability::Untested),
+        }
     }
 
     /// An ejected endpoint in the subset counts as elsewhere: the next ones on the ring stand in for it, and
@@ -170,13 +188,6 @@
     }
 }
 
-fn availability(health: Health) -> Availability {
-    match health {
-        Health::Healthy | Health::Recovering => Availability::Available,
-        Health::Unavailable => Availability::Unavailable,
-    }
-}
-
 fn precedence(endpoint: &Endpoint, location: Location, warm_fraction: f64) -> Precedence {
     if location == Location::InSubset && warm_fraction < 1.0 && endpoint.consecutive_ejections == 0 {
         Precedence::WarmingUpAndDue
--- /dev/null
+++ b/tests/endpoint_recovery.rs
@@ -0,0 +1,195 @@
+//! Recovery of ejected endpoints, by the idempotency of the requests that a node gets.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{
+    endpoint_entry, has_failure, settings_without_quota, started_attempts, NodeUnderTest, StartedAttempt,
+    KEYED, MILLISECOND, NON_IDEMPOTENT, SAFE, SECOND,
+};
+use edge_node::decision::{EndpointId, EndpointState, Micros, Outcome};
+
+/// Requests come this far apart: 50 a second.
+const REQUEST_INTERVAL: Micros = 20 * MILLISECOND;
+/// The longest ejection.
+const LONGEST_EJECTION: Micros = 6_400 * MILLISECOND;
+/// The longest time for which an endpoint whose ejection is over is left to safer requests.
+const LONGEST_WAIT_FOR_SAFER_REQUESTS: Micros = LONGEST_EJECTION;
+
+/// An attempt that ended, and what it was for.
+struct Ended {
+    class: usize,
+    endpoint: EndpointId,
+    /// When it ended, since the fleet's start.
+    at: Micros,
+    succeeded: bool,
+}
+
+/// A node before four endpoints that end each attempt at once.
+struct Fleet {
+    node: NodeUnderTest,
+    started_at: Micros,
+    ended: Vec<Ended>,
+    /// Requests that failed, by class.
+    failed: BTreeMap<usize, u32>,
+}
+
+impl Fleet {
+    fn start() -> Fleet {
+        let node = NodeUnderTest::new(settings_without_quota(), 4);
+        Fleet { started_at: node.now, node, ended: Vec::new(), failed: BTreeMap::new() }
+    }
+
+    fn elapsed(&self) -> Micros {
+        self.node.now - self.started_at
+    }
+
+    /// Sends requests of these classes in turn for `span`; the endpoints that `is_faulty` reset every one.
+    fn run(&mut self, span: Micros, classes: &[usize], is_faulty: impl Fn(EndpointId) -> bool) {
+        let until = self.node.now + span;
+        for &class in classes.iter().cycle() {
+            if self.node.now >= until {
+                return;
+            }
+            self.node.advance(REQUEST_INTERVAL);
+            let mut actions = self.node.tick();
+            actions.extend(self.node.request(class, 1.0).actions);
+            self.end_attempts(class, started_attempts(&actions), &is_faulty);
+        }
+    }
+
+    /// Ends these attempts and those that follow them.
+    fn end_attempts(
+        &mut self,
+        class: usize,
+        started: Vec<StartedAttempt>,
+        is_faulty: &impl Fn(EndpointId) -> bool,
+    ) {
+        for first in started {
+            let mut next = Some(first);
+            let mut number = 0;
+            while let Some(attempt) = next {
+                let succeeded = !is_faulty(attempt.endpoint);
+                let outcome = if succeeded { Outcome::Ok } else { Outcome::Reset };
+                self.ended.push(Ended { class, endpoint: attempt.endpoint, at: self.elapsed(), succeeded });
+                let actions = self.node.end_attempt(&attempt, number, outcome);
+                *self.failed.entry(class).or_default() += u32::from(has_failure(&actions));
+                next = started_attempts(&actions).pop();
+                number += 1;
+            }
+        }
+    }
+
+    /// The endpoints that served an attempt from `since` on.
+    fn serving(&self, since: Micros) -> BTreeSet<EndpointId> {
+        let served = self.ended.iter().filter(|ended| ended.succeeded && ended.at >= since);
+        served.map(|ended| ended.endpoint).collect()
+    }
+
+    fn failed_tests(&self, class: usize) -> usize {
+        self.ended.iter().filter(|ended| !ended.succeeded && ended.class == class).count()
+    }
+}
+
+fn is_first_half(endpoint: EndpointId) -> bool {
+    endpoint.0 < 2
+}
+
+#[test]
+fn node_recovers_from_a_fault_of_all_endpoints_whatever_the_idempotency_of_its_requests() {
+    for classes in [&[SAFE][..], &[KEYED], &[NON_IDEMPOTENT], &[SAFE, KEYED, NON_IDEMPOTENT]] {
+        let mut fleet = Fleet::start();
+        fleet.run(3 * SECOND, classes, |_| true);
+        let healed_at = fleet.elapsed();
+        fleet.run(2 * LONGEST_EJECTION, classes, |_| false);
+        let first_served = fleet.ended.iter().find(|ended| ended.succeeded).expect("service comes back");
+        assert!(first_served.at <= healed_at + SECOND, "classes {classes:?}: after {}", first_served.at);
+        assert_eq!(fleet.serving(healed_at + LONGEST_EJECTION).len(), 4, "classes {classes:?}");
+    }
+}
+
+#[test]
+fn endpoints_that_failed_beside_healthy_ones_are_used_again_whatever_the_idempotency() {
+    for classes in [&[SAFE][..], &[KEYED], &[NON_IDEMPOTENT], &[SAFE, KEYED, NON_IDEMPOTENT]] {
+        let mut fleet = Fleet::start();
+        fleet.run(3 * SECOND, classes, is_first_half);
+        let healed_at = fleet.elapsed();
+        let longest = LONGEST_EJECTION + LONGEST_WAIT_FOR_SAFER_REQUESTS;
+        fleet.run(2 * longest, classes, |_| false);
+        assert_eq!(fleet.serving(healed_at + longest).len(), 4, "classes {classes:?}");
+    }
+}
+
+#[test]
+fn endpoint_that_restarts_during_its_ejection_is_used_at_once() {
+    for class in [SAFE, KEYED, NON_IDEMPOTENT] {
+        let mut fleet = Fleet::start();
+        fleet.run(3 * SECOND, &[class], |endpoint| endpoint.0 == 0);
+        let mut restarted = endpoint_entry(0, EndpointState::Active, fleet.node.now - 20 * SECOND);
+        // It has been warm for long when the list says so.
+        restarted.weight = 1.0;
+        fleet.node.update_endpoint(restarted);
+        let restarted_at = fleet.elapsed();
+        fleet.run(SECOND, &[class], |_| false);
+        assert!(fleet.serving(restarted_at).contains(&EndpointId(0)), "class {class}");
+    }
+}
+
+#[test]
+fn non_idempotent_requests_spend_few_tests_on_endpoints_that_stay_faulty() {
+    let mut fleet = Fleet::start();
+    fleet.run(10 * SECOND, &[NON_IDEMPOTENT], is_first_half);
+    let failed_at_first = fleet.failed[&NON_IDEMPOTENT];
+    // By now the ejections of both are the longest ones; each test follows one and a wait as long.
+    let minutes = 2;
+    fleet.run(minutes * 60 * SECOND, &[NON_IDEMPOTENT], is_first_half);
+    let failed = u64::from(fleet.failed[&NON_IDEMPOTENT] - failed_at_first);
+    let tests_of_each = minutes * 60 * SECOND / (LONGEST_EJECTION + LONGEST_WAIT_FOR_SAFER_REQUESTS) + 1;
+    assert!((1..=2 * tests_of_each).contains(&failed), "{failed} of {} failed", minutes * 60 * 50);
+    let attempts = fleet.ended.len();
+    let requests = fleet.elapsed() / REQUEST_INTERVAL;
+    assert_eq!(attempts as u64, requests, "one attempt a request: none was repeated");
+}
+
+#[test]
+fn tests_are_left_to_safe_requests_where_they_come_along() {
+    let mut fleet = Fleet::start();
+    // A healthy node first, so that one reset ejects.
+    let classes = [NON_IDEMPOTENT, NON_IDEMPOTENT, KEYED, SAFE];
+    fleet.run(SECOND, &classes, |_| false);
+    fleet.run(SECOND, &[SAFE], is_first_half);
+    fleet.run(60 * SECOND, &classes, is_first_half);
+    assert_eq!(fleet.failed.get(&NON_IDEMPOTENT), Some(&0), "a non-idempotent request paid for a test");
+    assert_eq!(fleet.failed_tests(KEYED), 0, "a keyed request paid for a test");
+    assert!(fleet.failed_tests(SAFE) >= 8, "the faulty endpoints were tested");
+}
+
+#[test]
+fn tests_by_requests_that_are_not_safe_stay_a_small_share_of_them() {
+    // Requests so rare that most could test an endpoint.
+    let mut fleet = Fleet::start();
+    fleet.run(SECOND, &[NON_IDEMPOTENT], |endpoint| endpoint.0 < 3);
+    let failed_at_first = fleet.failed[&NON_IDEMPOTENT];
+    let requests = 200;
+    for _ in 0..requests {
+        fleet.node.advance(20 * SECOND);
+        fleet.run(REQUEST_INTERVAL, &[NON_IDEMPOTENT], |endpoint| endpoint.0 < 3);
+    }
+    let failed = fleet.failed[&NON_IDEMPOTENT] - failed_at_first;
+    assert!((1..=requests / 10 + 2).contains(&failed), "{failed} of {requests} requests failed in tests");
+}
+
+#[test]
+fn recovering_endpoint_takes_one_non_idempotent_request_at_a_time() {
+    let mut node = NodeUnderTest::new(settings_without_quota(), 1);
+    let first = node.request_started(NON_IDEMPOTENT);
+    node.end_attempt(&first, 0, Outcome::ConnectFailed);
+    node.advance(LONGEST_EJECTION);
+    node.tick();
+    let test = node.request_started(NON_IDEMPOTENT);
+    let waiting = started_attempts(&node.request(NON_IDEMPOTENT, 1.0).actions);
+    assert!(waiting.is_empty(), "a second attempt at a recovering endpoint");
+    node.complete(&test);
+    assert_eq!(started_attempts(&node.tick()).len(), 1, "the one that waited goes once the test succeeded");
+}
--- a/tests/node_retries.rs
+++ b/tests/node_retries.rs
@@ -126,7 +126,7 @@
     client.send(&request("post", "p-1"));
     endpoint.next_request().close();
     assert_failed(&client.response());
-    // After its first ejection an endpoint that is not trusted gets no non-idempotent request.
+    // With no other endpoint it gets the request whether or not it is trusted.
     sleep(FIRST_EJECTION_IS_OVER);
     assert_served_by(&endpoint, &mut client, &request("post", "p-2"));
 }
