Bound the wait of a request for the counter, and pause calls that are reset

Callers saw: while each connection to the counter was reset, requests of a plan with a quota got 504 at their deadline for seconds on end; with the counter refused or silent they are served. Cause: a call that ends by a reset or a reply that cannot be read is read again once; when that ended alike, CounterHealth::record took it for neither health nor failure, no pause began, and the queue asked again at once, up to the deadline. Change: the second such end counts as a failed call; and a request waits for the counter for three time-outs at most, then it is decided as with a silent counter, whatever became of the calls.

--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -13,6 +13,8 @@
 
 /// A class whose late responses earn at least this share of its weight is served late, too.
 const LEAST_LATE_WEIGHT: f64 = 0.5;
+/// A request waits for the counter for so many of its time-outs at most: a call, its reread, and one more.
+const LONGEST_COUNTER_WAIT_TIMEOUTS: u64 = 3;
 /// Timeouts of a client count as the same if they differ by less than the timeout divided by this number.
 const TIMEOUT_TOLERANCE_DIVISOR: u64 = 50;
 
@@ -76,7 +78,7 @@
         self.pending.insert(PendingRequest::new(request, self.now));
         match self.decide_by_quota(&id, QuotaStage::OnArrival, actions) {
             QuotaDecision::Granted { drawn_units } => self.admit(&id, drawn_units, actions),
-            QuotaDecision::Wait => self.quota.enqueue(account, QueuedRequest { id, units }),
+            QuotaDecision::Wait => self.wait_for_counter(account, QueuedRequest { id, units }),
             QuotaDecision::BeyondQuota => self.handle_beyond_quota(&id, actions),
         }
     }
@@ -84,14 +86,54 @@
     /// Decides about the requests of an account that waited for the counter, in their order.
     pub(super) fn serve_queue(&mut self, account: AccountId, actions: &mut Vec<Action>) {
         while let Some(queued) = self.quota.dequeue(account) {
+            self.set_waits_for_counter(&queued.id, false);
             match self.decide_by_quota(&queued.id, QuotaStage::AfterReply, actions) {
                 QuotaDecision::Granted { drawn_units } => self.admit(&queued.id, drawn_units, actions),
-                QuotaDecision::Wait => return self.quota.requeue(account, queued),
+                QuotaDecision::Wait => {
+                    self.set_waits_for_counter(&queued.id, true);
+                    return self.quota.requeue(account, queued);
+                }
                 QuotaDecision::BeyondQuota => self.handle_beyond_quota(&queued.id, actions),
             }
         }
     }
 
+    fn wait_for_counter(&mut self, account: AccountId, queued: QueuedRequest) {
+        self.set_waits_for_counter(&queued.id, true);
+        self.quota.enqueue(account, queued);
+    }
+
+    fn set_waits_for_counter(&mut self, id: &RequestId, waits: bool) {
+        if let Some(pending) = self.pending.get_mut(id) {
+            pending.waits_for_counter = waits;
+        }
+    }
+
+    /// Decides without the counter about the requests that have waited for it for as long as they may,
+    /// whatever has become of the calls.
+    pub(super) fn end_overdue_counter_waits(&mut self, actions: &mut Vec<Action>) {
+        for id in self.overdue_counter_waits() {
+            let Some(pending) = self.pending.get(&id) else { continue };
+            let account = pending.request.account;
+            self.quota.remove_from_queue(account, &id);
+            self.set_waits_for_counter(&id, false);
+            match self.decide_by_quota(&id, QuotaStage::AfterLongestWait, actions) {
+                QuotaDecision::Granted { drawn_units } => self.admit(&id, drawn_units, actions),
+                QuotaDecision::Wait | QuotaDecision::BeyondQuota => self.handle_beyond_quota(&id, actions),
+            }
+        }
+    }
+
+    fn overdue_counter_waits(&self) -> Vec<RequestId> {
+        let longest_counter_wait = self.settings.counter.timeout * LONGEST_COUNTER_WAIT_TIMEOUTS;
+        let is_overdue = |pending: &PendingRequest| {
+            let longest_wait = longest_counter_wait.min(self.longest_wait(pending));
+            pending.waits_for_counter && self.now >= pending.arrived_at + longest_wait
+        };
+        let overdue = self.pending.iter().filter(|(_, pending)| is_overdue(pending));
+        overdue.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Decides by the load of the fleet. A retry is shed without a time to come back.
     fn decide_by_load(&self, request: &NewRequest) -> LoadDecision {
         let time_until_admission =
--- a/src/decision/attempts/pending_request.rs
+++ b/src/decision/attempts/pending_request.rs
@@ -28,6 +28,8 @@
     pub in_flight: Option<Attempt>,
     /// The first attempt that may have run.
     pub first_possible_run: Option<Attempt>,
+    /// It is in its account's queue for the reply of the counter.
+    pub waits_for_counter: bool,
     /// The request has its final response, or nobody waits for it.
     pub needs_no_response: bool,
     /// A part of the response was sent to the client.
@@ -44,6 +46,7 @@
             attempts: 0,
             in_flight: None,
             first_possible_run: None,
+            waits_for_counter: false,
             needs_no_response: false,
             response_started: false,
         }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -29,7 +29,7 @@
 };
 
 use admission::ClientTimeouts;
-use attempts::{PendingRequests, RetryBudget};
+use attempts::{PendingRequest, PendingRequests, RetryBudget};
 use balancer::Balancer;
 use deferral::DeferralSchedule;
 use estimators::RandomSource;
@@ -191,12 +191,13 @@
         self.quota.release_idle_leases(&self.settings, self.now, 0, actions);
     }
 
-    /// Housekeeping, in this order: the load is sampled, requests without an endpoint are tried again,
-    /// stuck attempts are cancelled, unresponsive endpoints are ejected. The sweep of leases and memory
-    /// follows less often.
+    /// Housekeeping, in this order: the load is sampled, requests that have waited too long for the counter
+    /// are decided without it, requests without an endpoint are tried again, stuck attempts are cancelled,
+    /// unresponsive endpoints are ejected. The sweep of leases and memory follows less often.
     fn on_tick(&mut self, actions: &mut Vec<Action>) {
         actions.push(Action::SetTimer { id: 0, after: TICK });
         self.load_shedder.on_tick(&self.balancer, self.now);
+        self.end_overdue_counter_waits(actions);
         self.dispatch_waiting_requests(actions);
         self.cancel_stuck_attempts(actions);
         self.balancer.eject_unresponsive(self.now);
@@ -219,10 +220,7 @@
     fn dispatch_waiting_requests(&mut self, actions: &mut Vec<Action>) {
         for id in self.pending.take_waiting_for_endpoint() {
             let Some(pending) = self.pending.get(&id) else { continue };
-            let objective = self.settings.classes[pending.request.class].latency_objective;
-            let timeout = pending.request.deadline.saturating_sub(pending.arrived_at);
-            let longest_wait = objective.min(timeout / 2);
-            if self.now + 2 * TICK >= pending.arrived_at + longest_wait {
+            if self.now + 2 * TICK >= pending.arrived_at + self.longest_wait(pending) {
                 self.reject_or_fail(&id, actions);
             } else {
                 self.dispatch(&id, actions);
@@ -230,6 +228,13 @@
         }
     }
 
+    /// How long a request may wait in all before its first attempt.
+    fn longest_wait(&self, pending: &PendingRequest) -> Micros {
+        let objective = self.settings.classes[pending.request.class].latency_objective;
+        let timeout = pending.request.deadline.saturating_sub(pending.arrived_at);
+        objective.min(timeout / 2)
+    }
+
     /// Forgets endpoints and accounts that nothing has to be known of any more.
     fn forget_unneeded(&mut self) {
         self.balancer.forget_removed(self.now);
--- a/src/decision/quota/counter_health.rs
+++ b/src/decision/quota/counter_health.rs
@@ -50,7 +50,8 @@
         self.ask_share
     }
 
-    /// Records the reply to a call. What could not be read shows neither health nor failure.
+    /// Records the end of a call that is not read again. What could not be read twice in a row counts as a
+    /// failure: a proxy before a dead counter accepts connections and resets them, for as long as it is dead.
     pub fn record(
         &mut self,
         settings: &Settings,
@@ -59,9 +60,6 @@
         call: &CounterCall,
         reply: CounterReply,
     ) {
-        if reply.is_inconclusive() {
-            return;
-        }
         let is_prompt = now.saturating_sub(call.sent_at) < settings.counter.timeout / 2;
         self.adapt_ask_share(reply.is_success() && is_prompt, settings.node_count);
         if let CounterReply::Total(_) = reply {
--- a/src/decision/quota/known_level.rs
+++ b/src/decision/quota/known_level.rs
@@ -15,7 +15,7 @@
     pub fn of(account: &Account, request: &QuotaRequest<'_>, now: Micros) -> Self {
         let queued_units = match request.stage {
             QuotaStage::OnArrival => account.queued_units(),
-            QuotaStage::AfterReply => 0.0,
+            QuotaStage::AfterReply | QuotaStage::AfterLongestWait => 0.0,
         };
         BucketView { level: account.projected_level(request.plan, now), queued_units }
     }
--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -102,7 +102,8 @@
             .is_some_and(|account| account.is_concurrency_exhausted(request.plan, fleet_mean_latency, now))
     }
 
-    /// Draws a request's units. The first rule that applies decides:
+    /// Draws a request's units. The first rule that applies decides; the second and third are left out for a
+    /// request that has waited for the counter for as long as it may:
     ///
     /// 1. The lease covers it: it is granted.
     /// 2. A call is in flight, or the last total left too little: it waits or is beyond quota.
@@ -128,7 +129,8 @@
         let Some(account) = self.accounts.get(&request.account) else {
             return QuotaDecision::BeyondQuota;
         };
-        let counter_is_available = self.counter_health.is_available(settings, now);
+        let counter_is_available =
+            request.stage != QuotaStage::AfterLongestWait && self.counter_health.is_available(settings, now);
         let bucket = BucketView::of(account, request, now);
         if counter_is_available {
             if let Some(decision) = decide_by_known_level(account, request, &bucket) {
@@ -202,6 +204,13 @@
         }
     }
 
+    /// Takes a request out of the account's queue, wherever it is in it.
+    pub fn remove_from_queue(&mut self, account: AccountId, id: &RequestId) {
+        if let Some(account) = self.accounts.get_mut(&account) {
+            account.queue.retain(|queued| queued.id != *id);
+        }
+    }
+
     /// An attempt of the account begins.
     pub fn attempt_started(&mut self, account: AccountId) {
         if let Some(account) = self.accounts.get_mut(&account) {
@@ -218,10 +227,11 @@
 
     /// Returns the units of a request that never ran to the lease, and takes it out of the queue.
     pub fn return_unused(&mut self, account: AccountId, id: &RequestId, drawn_units: f64) {
-        let Some(account) = self.accounts.get_mut(&account) else { return };
-        account.lease += drawn_units;
         // A client may use the id again at once: a place left in the queue would send that request twice.
-        account.queue.retain(|queued| queued.id != *id);
+        self.remove_from_queue(account, id);
+        if let Some(account) = self.accounts.get_mut(&account) {
+            account.lease += drawn_units;
+        }
     }
 
     /// How the account uses its quota here.
@@ -278,7 +288,7 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         let Some(account) = self.accounts.get_mut(&request.account) else { return false };
-        let is_at_front = request.stage == QuotaStage::AfterReply || account.queue.is_empty();
+        let is_at_front = request.stage != QuotaStage::OnArrival || account.queue.is_empty();
         let is_covered = account.lease >= request.units && is_at_front;
         if is_covered {
             lease::draw_from_lease(account, request.units, now);
--- a/src/decision/quota/request.rs
+++ b/src/decision/quota/request.rs
@@ -20,6 +20,8 @@
     /// Once the counter's reply is in: ahead of those that wait. It does not wait for a call that was made
     /// since.
     AfterReply,
+    /// Once it has waited for the counter for as long as it may: it is decided without the counter.
+    AfterLongestWait,
 }
 
 /// What the quota says about a request.
