Have half-sent requests give way where descriptors run out

Callers saw: while clients that sent a part of a request and no more held the clients' share of the descriptors, others got no answer within 0.8 + 0.5 s. Cause: a connection with a partial head, asked to close, waited a second for the rest, and one with a partial body was not asked at all; new connections waited in the backlog meanwhile. Bytes that lie unread keep them; a request that has arrived in full is not given up, also not by the head time-out, which did that if the rest came in that moment.

--- a/src/net/descriptor_budget.rs
+++ b/src/net/descriptor_budget.rs
@@ -2,11 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// Descriptors reserved for the listener, discovery, the counter, the runtime and the standard streams.
 pub const RESERVED_DESCRIPTORS: usize = 24;
@@ -26,11 +27,13 @@
     open_downstream: Cell<usize>,
     /// Signalled when a permit was returned or a connection can be closed.
     changed: Notify,
-    next_idle_order: Cell<u64>,
+    next_order: Cell<u64>,
     /// Client connections so new that their first request may still be unread.
     unclassified: Cell<usize>,
     /// Client connections without an open request, in the order in which they are closed.
     idle_downstream: RefCell<BTreeMap<IdleRegistration, Rc<Notify>>>,
+    /// Client connections on which a request has arrived in part, in the order in which they may be aborted.
+    partial_requests: RefCell<BTreeMap<PartialRequestRegistration, Rc<Notify>>>,
 }
 
 /// A client connection's place among the idle ones. Those that have never sent a request come first, then those idle
@@ -42,6 +45,14 @@
     idle_order: u64,
 }
 
+/// The place of a client connection on which a request has arrived in part among all such connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PartialRequestRegistration {
+    evictable_at: Instant,
+    /// Tells apart those of one time.
+    order: u64,
+}
+
 /// Which side a connection belongs to.
 #[derive(Clone, Copy, PartialEq)]
 enum Side {
@@ -66,9 +77,10 @@
             open_connections: Cell::new(0),
             open_downstream: Cell::new(0),
             changed: Notify::new(),
-            next_idle_order: Cell::new(0),
+            next_order: Cell::new(0),
             unclassified: Cell::new(0),
             idle_downstream: RefCell::default(),
+            partial_requests: RefCell::default(),
         })
     }
 
@@ -122,7 +134,7 @@
                 return permit;
             }
             if !close_one() {
-                changed.await;
+                self.wait_for_eviction(changed).await;
                 continue;
             }
             if let Ok(permit) = timeout(EVICTION_TIMEOUT, self.wait_for_permit(&try_acquire)).await {
@@ -131,6 +143,18 @@
         }
     }
 
+    /// Waits for a change, or until a connection with a partial request may be aborted.
+    async fn wait_for_eviction(&self, changed: impl Future<Output = ()>) {
+        let evictable_at = self.partial_requests.borrow().keys().next().map(|first| first.evictable_at);
+        match evictable_at {
+            Some(evictable_at) => tokio::select! {
+                () = changed => {}
+                () = sleep_until(evictable_at) => {}
+            },
+            None => changed.await,
+        }
+    }
+
     async fn wait_for_permit(&self, try_acquire: impl Fn() -> Option<DescriptorPermit>) -> DescriptorPermit {
         loop {
             let changed = self.changed.notified();
@@ -148,14 +172,36 @@
 
     /// A client connection is idle; it may be asked to close through `close`.
     pub fn register_idle(&self, close: Rc<Notify>, has_sent_request: bool) -> IdleRegistration {
-        let idle_order = self.next_idle_order.get();
-        self.next_idle_order.set(idle_order + 1);
-        let registration = IdleRegistration { has_sent_request, idle_order };
+        let registration = IdleRegistration { has_sent_request, idle_order: self.next_order() };
         self.idle_downstream.borrow_mut().insert(registration, close);
         self.notify_waiters();
         registration
     }
 
+    /// A request has arrived in part on a client connection; from `evictable_at` on the connection may be ended
+    /// through `abort`.
+    pub fn register_partial_request(
+        &self,
+        abort: Rc<Notify>,
+        evictable_at: Instant,
+    ) -> PartialRequestRegistration {
+        let registration = PartialRequestRegistration { evictable_at, order: self.next_order() };
+        self.partial_requests.borrow_mut().insert(registration, abort);
+        self.notify_waiters();
+        registration
+    }
+
+    /// The request has arrived in full or a further part of it has, or its connection is closed.
+    pub fn unregister_partial_request(&self, registration: PartialRequestRegistration) {
+        self.partial_requests.borrow_mut().remove(&registration);
+    }
+
+    fn next_order(&self) -> u64 {
+        let order = self.next_order.get();
+        self.next_order.set(order + 1);
+        order
+    }
+
     /// The connection with this registration is in use, or closed.
     pub fn unregister_idle(&self, registration: IdleRegistration) {
         self.idle_downstream.borrow_mut().remove(&registration);
@@ -172,21 +218,34 @@
         self.notify_waiters();
     }
 
-    /// Asks a client connection to close: the first that has been without a request from its start, or else the one
-    /// that has been idle for longest. False if there is none.
+    /// Asks a client connection to close: the first that has been without a request from its start; or else the one
+    /// whose partial request may be given up for longest; or else the one that has been idle for longest. False if
+    /// there is none.
     ///
-    /// While at least half of the clients' share is not classified yet, connections that have sent requests are not
-    /// closed: a flood of connections without a request would push out those in use. With fewer, waiting for them
+    /// While at least half of the clients' share is not classified yet, idle connections that have sent requests are
+    /// not closed: a flood of connections without a request would push out those in use. With fewer, waiting for them
     /// would keep out new clients.
     pub fn close_idle_downstream(&self) -> bool {
-        let is_flooded = self.unclassified.get() * 2 >= self.max_downstream;
+        self.close_first_idle(|first| !first.has_sent_request)
+            || self.abort_partial_request()
+            || self.close_first_idle(|_| !self.is_flooded())
+    }
+
+    fn is_flooded(&self) -> bool {
+        self.unclassified.get() * 2 >= self.max_downstream
+    }
+
+    fn close_first_idle(&self, may_close: impl Fn(&IdleRegistration) -> bool) -> bool {
         let mut idle = self.idle_downstream.borrow_mut();
-        let Some(first) = idle.first_entry() else { return false };
-        if first.key().has_sent_request && is_flooded {
-            return false;
-        }
-        first.remove().notify_one();
-        true
+        let first = idle.first_entry().filter(|first| may_close(first.key()));
+        first.map(|first| first.remove().notify_one()).is_some()
+    }
+
+    fn abort_partial_request(&self) -> bool {
+        let now = Instant::now();
+        let mut partial_requests = self.partial_requests.borrow_mut();
+        let first = partial_requests.first_entry().filter(|first| first.key().evictable_at <= now);
+        first.map(|first| first.remove().notify_one()).is_some()
     }
 
     /// How many clients are connected.
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -83,7 +83,7 @@
         let framing = self.state.request_started(&request);
         let mut response = tokio::select! {
             biased;
-            response = self.handler.handle(request, framing) => response,
+            response = self.handler.handle(request, framing, || self.state.request_received()) => response,
             () = socket::peer_closed(&self.stream) => {
                 self.state.abort();
                 // The abort drops the connection, and this future with it.
@@ -114,8 +114,13 @@
             tokio::select! {
                 biased;
                 _ = http_connection.as_mut() => return ServingEnd::Ended,
-                // Also for a head that never ends, which would hold the descriptor for ever. No request was taken.
                 () = self.state.abort_requested() => return ServingEnd::Aborted,
+                // A request that never ends would hold the descriptor for ever. Its rest may have come just now.
+                () = self.state.give_up_requested() => {
+                    if self.state.may_give_up_partial_request(|| socket::has_unread_bytes(&self.stream)) {
+                        return ServingEnd::Aborted;
+                    }
+                }
                 () = self.state.close_requested() => close_due = self.start_closing(),
                 Ok(()) = close_when_idle.changed() => close_due = self.start_closing(),
                 // Bounds a client that neither completes a request head nor reads its last response.
@@ -147,7 +152,7 @@
     /// Lets a connection that was shut down write what is left, for as long as a request is in progress on it.
     async fn finish(&self, mut http_connection: Pin<&mut impl Future>) {
         while timeout(CLOSE_TIMEOUT, http_connection.as_mut()).await.is_err() {
-            if self.state.is_registered_idle() {
+            if !self.state.request_in_progress() {
                 return;
             }
         }
--- a/src/net/downstream/connection_registry.rs
+++ b/src/net/downstream/connection_registry.rs
@@ -1,4 +1,4 @@
-//! The open connections of clients, so that those whose request head does not arrive in time are aborted.
+//! The open connections of clients, so that those whose request head does not arrive in time are ended.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -29,7 +29,7 @@
     pub fn new() -> Rc<Self> {
         let registry =
             Rc::new(ConnectionRegistry { connections: RefCell::default(), next_number: Cell::default() });
-        tokio::task::spawn_local(abort_overdue_periodically(Rc::downgrade(&registry)));
+        tokio::task::spawn_local(give_up_overdue_periodically(Rc::downgrade(&registry)));
         registry
     }
 
@@ -41,10 +41,10 @@
         ConnectionRegistration { registry: self.clone(), number }
     }
 
-    fn abort_overdue(&self) {
+    fn give_up_overdue(&self) {
         for state in self.connections.borrow().values() {
             if state.head_overdue() {
-                state.abort();
+                state.give_up_partial_request();
             }
         }
     }
@@ -56,10 +56,10 @@
     }
 }
 
-async fn abort_overdue_periodically(registry: Weak<ConnectionRegistry>) {
+async fn give_up_overdue_periodically(registry: Weak<ConnectionRegistry>) {
     loop {
         sleep(HEAD_CHECK_INTERVAL).await;
         let Some(registry) = registry.upgrade() else { return };
-        registry.abort_overdue();
+        registry.give_up_overdue();
     }
 }
--- a/src/net/downstream/handler.rs
+++ b/src/net/downstream/handler.rs
@@ -37,9 +37,15 @@
         RequestHandler { event_loop, rules }
     }
 
-    /// Answers one request. Dropping the future before it ends means that the client has disconnected.
-    pub async fn handle(&self, request: Request<Incoming>, framing: BodyFraming) -> Response<Full<Bytes>> {
-        let client_response = match self.serve(request, framing).await {
+    /// Answers one request. Dropping the future before it ends means that the client has disconnected. `received` is
+    /// called once the request has arrived in full.
+    pub async fn handle(
+        &self,
+        request: Request<Incoming>,
+        framing: BodyFraming,
+        received: impl FnOnce(),
+    ) -> Response<Full<Bytes>> {
+        let client_response = match self.serve(request, framing, received).await {
             Ok(client_response) => client_response,
             Err(error) => ClientResponse::Invalid(error),
         };
@@ -58,6 +64,7 @@
         &self,
         request: Request<Incoming>,
         framing: BodyFraming,
+        received: impl FnOnce(),
     ) -> Result<ClientResponse, RequestError> {
         let received_at = self.event_loop.clock.now();
         let (head, body) = request.into_parts();
@@ -70,6 +77,7 @@
         let new_request = self.rules.validate(&head, received_at)?;
         let response_due = self.event_loop.final_response_by(new_request.deadline);
         let body = read_body(&head.method, body, response_due).await?;
+        received();
         let forward = forwarded_request(head, body)?;
         self.final_response(new_request, forward, response_due).await
     }
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -3,11 +3,11 @@
 //! `listener` accepts connections, `connection` serves each of them, `handler` answers one request. Reading order:
 //! listener, connection, handler; the other modules serve them.
 
+pub mod connection_state;
 pub mod pipeline;
 
 mod connection;
 mod connection_registry;
-mod connection_state;
 mod framing;
 mod handler;
 mod listener;
--- a/tests/fakes/client.rs
+++ b/tests/fakes/client.rs
@@ -93,10 +93,20 @@
 
     /// Whether a response has begun to arrive, or does within a millisecond.
     pub fn has_response(&mut self) -> bool {
+        self.poll(|arrived| arrived.is_ok_and(|bytes| !bytes.is_empty()))
+    }
+
+    /// Whether neither a response nor the connection's end has come, nor does within a millisecond.
+    pub fn is_still_waiting(&mut self) -> bool {
+        self.poll(|arrived| arrived.is_err_and(|error| error.kind() == ErrorKind::WouldBlock))
+    }
+
+    /// Looks at what has arrived within a millisecond.
+    fn poll(&mut self, look: impl FnOnce(std::io::Result<&[u8]>) -> bool) -> bool {
         self.stream.set_read_timeout(Some(Duration::from_millis(1))).expect("a time-out");
-        let has_bytes = self.reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
+        let seen = look(self.reader.fill_buf());
         self.stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
-        has_bytes
+        seen
     }
 
     /// The next response.
--- a/tests/node_descriptor_limit.rs
+++ b/tests/node_descriptor_limit.rs
@@ -79,3 +79,38 @@
         }
     }
 }
+
+/// How many clients half-send a request in a crowd: more than twice as many as there are descriptors for.
+const HALF_SENT: usize = 20;
+
+/// Asserts that a client behind a crowd that sent this much of a request is served before a node without a lack of
+/// descriptors has given up such a client.
+fn assert_half_sent_requests_give_way_soon(half_sent: &str) {
+    let empty_node = small_node();
+    let SmallNode { endpoint, edge } = small_node();
+    let send_to = |edge: &EdgeProcess, text: &str| {
+        let mut client = edge.connect();
+        client.send_raw(text);
+        client
+    };
+    let (_crowd, mut client, mut alone) = edge.while_suspended(|| {
+        let crowd: [Client; HALF_SENT] = from_fn(|_| send_to(&edge, half_sent));
+        let client = send_to(&edge, &request("lookup", "l-1").text());
+        (crowd, client, send_to(&empty_node.edge, half_sent))
+    });
+    endpoint.next_request().respond_ok("ok");
+    client.assert_ok("ok");
+    assert!(alone.is_still_waiting(), "a client without a crowd was given up first");
+}
+
+#[test]
+fn half_sent_heads_give_way_where_descriptors_run_out() {
+    let text = request("lookup", "l-0").text();
+    assert_half_sent_requests_give_way_soon(&text[..text.len() / 2]);
+}
+
+#[test]
+fn half_sent_bodies_give_way_where_descriptors_run_out() {
+    let text = request("post", "p-0").text();
+    assert_half_sent_requests_give_way_soon(&text[..text.len() - 1]);
+}
