Check the deduplication window with the connect time-out that the network uses

Callers could see: where the settings name no connect_timeout, a keyed request that may have run written again up to 0.25 s past its window. Cause: the decisions took 0 for it, the network a default of its own, 250 ms; the rule stood in two places. Change: the default is applied once, as the settings are read. Evidence: a_keyed_request_is_not_repeated_past_its_window_where_the_settings_name_no_time_for_connecting failed before (a second attempt), passes now.

--- a/src/app.rs
+++ b/src/app.rs
@@ -143,7 +143,7 @@
         let zones = mem::take(&mut document.zones);
         let machine_kinds = mem::take(&mut document.machine_kinds);
         let labels = PlacementLabels::new(zones, machine_kinds);
-        let connection_idle_timeout = document.limits.connection_idle_timeout;
+        let connection_idle_timeout = document.limits.connection_idle_timeout();
         let rules = RequestRules::new(&document);
         let settings = Settings::from(document);
         let shutdown_schedule = ShutdownSchedule::new(longest_total_timeout(&settings));
--- a/src/net/upstream/upstreams.rs
+++ b/src/net/upstream/upstreams.rs
@@ -20,10 +20,6 @@
 
 /// A connection has at least this long to be established.
 const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
-/// The time-out where the settings have none.
-const DEFAULT_CONNECT_TIMEOUT: Micros = 250_000;
-/// When endpoints close idle connections, where the settings have no time.
-const DEFAULT_ENDPOINT_IDLE_TIMEOUT: Micros = 10_000_000;
 /// How often idle connections are swept.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -44,7 +40,7 @@
 }
 
 impl Upstreams {
-    /// No endpoints yet. Both times are in microseconds; 0 means the default, 250 ms and 10 s.
+    /// No endpoints yet. Both times are in microseconds.
     ///
     /// Idle connections are closed at half of `endpoint_idle_timeout`, after which the endpoint may do so: a request
     /// that crosses the endpoint's close could not be distinguished from one that ran.
@@ -53,8 +49,6 @@
         connect_timeout: Micros,
         endpoint_idle_timeout: Micros,
     ) -> Rc<Self> {
-        let connect_timeout = positive_or(connect_timeout, DEFAULT_CONNECT_TIMEOUT);
-        let endpoint_idle_timeout = positive_or(endpoint_idle_timeout, DEFAULT_ENDPOINT_IDLE_TIMEOUT);
         let upstreams = Rc::new(Upstreams {
             known: RefCell::default(),
             pools: ConnectionPools::new(budget, Duration::from_micros(endpoint_idle_timeout / 2)),
@@ -157,11 +151,3 @@
         previous
     }
 }
-
-fn positive_or(value: Micros, default: Micros) -> Micros {
-    if value > 0 {
-        value
-    } else {
-        default
-    }
-}
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -2,7 +2,8 @@
 //! to the settings of the decisions.
 //!
 //! Times are in microseconds and rates in units of quota per second. A setting that is left out has the default of
-//! its type: zero, `false`, or an empty list or text. Unknown settings are ignored.
+//! its type: zero, `false`, or an empty list or text; the two time-outs of connections have defaults of their own, also
+//! where they are zero. Unknown settings are ignored.
 
 use serde::Deserialize;
 
@@ -12,6 +13,10 @@
 
 /// The value of the endpoint list's mode with which a node has to poll the list.
 const POLLED_LIST: &str = "ask";
+/// How long a connection may take to be established, where the settings name no time.
+const DEFAULT_CONNECT_TIMEOUT: Micros = 250_000;
+/// When endpoints close idle connections, where the settings name no time.
+const DEFAULT_CONNECTION_IDLE_TIMEOUT: Micros = 10_000_000;
 
 /// The settings of one node.
 #[derive(Deserialize)]
@@ -85,9 +90,10 @@
 /// What a node may do at this site.
 #[derive(Deserialize)]
 pub struct LimitsDocument {
-    /// An endpoint closes a connection that has been idle for this long; 0 means that the settings name no time.
+    /// 0 means that the settings name no time.
     #[serde(default, rename = "conn_idle")]
-    pub connection_idle_timeout: Micros,
+    connection_idle_timeout: Micros,
+    /// 0 means that the settings name no time.
     #[serde(default)]
     connect_timeout: Micros,
     #[serde(default, rename = "cancel")]
@@ -214,6 +220,22 @@
     }
 }
 
+/// The value, or the default where it is 0.
+fn positive_or(value: Micros, default: Micros) -> Micros {
+    if value > 0 {
+        value
+    } else {
+        default
+    }
+}
+
+impl LimitsDocument {
+    /// An endpoint closes a connection that has been idle for this long; 10 s if the settings name no time.
+    pub fn connection_idle_timeout(&self) -> Micros {
+        positive_or(self.connection_idle_timeout, DEFAULT_CONNECTION_IDLE_TIMEOUT)
+    }
+}
+
 impl From<LimitsDocument> for Limits {
     fn from(document: LimitsDocument) -> Self {
         Limits {
@@ -222,7 +244,7 @@
             retry_after_allowed: document.retry_after_allowed,
             max_retry_after: document.max_retry_after,
             max_attempts: document.max_attempts,
-            connect_timeout: document.connect_timeout,
+            connect_timeout: positive_or(document.connect_timeout, DEFAULT_CONNECT_TIMEOUT),
         }
     }
 }
--- a/tests/connection_close_races.rs
+++ b/tests/connection_close_races.rs
@@ -153,6 +153,21 @@
     endpoint.assert_no_request();
 }
 
+#[test]
+fn a_keyed_request_is_not_repeated_past_its_window_where_the_settings_name_no_time_for_connecting() {
+    let endpoint = FakeEndpoint::start();
+    // Shorter than the time that connecting may take by default, and long enough for the connection to break in it.
+    let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)])
+        .deduplication_window(249_000)
+        .connect_timeout(0)
+        .start();
+    let mut client = edge.connect();
+    client.send(&request("slip", "k-1"));
+    endpoint.next_request().close();
+    assert_failed(&client.response());
+    endpoint.assert_no_request();
+}
+
 #[test]
 fn a_second_attempt_carries_the_time_that_is_left_to_the_client() {
     let endpoints = [FakeEndpoint::start(), FakeEndpoint::start()];
--- a/tests/endpoint_lists/node.rs
+++ b/tests/endpoint_lists/node.rs
@@ -48,7 +48,7 @@
         let document: SettingsDocument = serde_json::from_value(node_settings()).expect("settings");
         let settings = Settings::from(document);
         let schedule = WatchSchedule::new(1, settings.node_count, false);
-        let upstreams = Upstreams::new(DescriptorBudget::new(64), 0, 0);
+        let upstreams = Upstreams::new(DescriptorBudget::new(64), 250_000, 10_000_000);
         let discovery = Discovery::new(agent.address, upstreams.clone(), labels(), schedule);
         let counter = CounterClient::new(None, settings.counter.timeout);
         let engine = DecisionEngine::new(1, settings);
