Have the plain scan of the selection tests follow the rule for recovering endpoints

It now has the new rule from recovery.rs, with budget and times of its own, and agrees with the node on every attempt. The coverage bounds stay as they are.

--- a/src/decision/attempts/final_response.rs
+++ b/src/decision/attempts/final_response.rs
@@ -54,8 +54,8 @@
         }
     }
 
-    /// Returns the units of a request that never ran, and takes it out of the requests that wait for the counter
-    /// or for an endpoint.
+    /// Returns the units of a request that never ran, and takes it out of the requests that wait for the
+    /// counter or for an endpoint.
     fn return_unused(&mut self, id: &RequestId) {
         let Some(pending) = self.pending.get(id) else { return };
         self.quota.return_unused(pending.request.account, id, pending.drawn_units);
--- a/src/decision/balancer/mod.rs
+++ b/src/decision/balancer/mod.rs
@@ -1,8 +1,8 @@
 //! Load balancing: which endpoint an attempt is sent to, by subset, health, warm-up and cost.
 //!
 //! Reading order: this file, then `selection` (the rules for one endpoint), then `subset`, `slow_start`,
-//! `outlier_detection`, `recovery` and `cost`, each with one of the rules. `endpoint` and `endpoint_table` hold the
-//! state.
+//! `outlier_detection`, `recovery` and `cost`, each with one of the rules. `endpoint` and `endpoint_table`
+//! hold the state.
 
 mod cost;
 mod deduplication_group;
@@ -142,8 +142,8 @@
     /// Selects the endpoint where an attempt should do best, if any may be sent it.
     ///
     /// The endpoints of the node's subset are examined; of a short list all of it. An endpoint is passed over
-    /// when deduplication binds the request to others, when it is warming up and not due a request, or when it
-    /// is recovering and the attempt that tests it is in flight. Of those left the best is selected by
+    /// when deduplication binds the request to others, when it is warming up and not due a request, or when
+    /// it is recovering and the attempt that tests it is in flight. Of those left the best is selected by
     /// availability, membership in the subset, warm-up and cost, in this order. If none is available,
     /// endpoints beyond the subset are examined as well.
     pub fn select(
--- a/src/decision/balancer/recovery.rs
+++ b/src/decision/balancer/recovery.rs
@@ -5,13 +5,14 @@
 //!
 //! 1. One attempt at a time, whichever request it is for.
 //! 2. A request of a safe class may test it at once: if the test fails, it is sent again elsewhere.
-//! 3. A keyed request may test it once it was left untested for half as long as its latest ejection lasted, a
-//!    non-idempotent one after as long. The time runs from the end of the ejection or from the latest test, so
-//!    it grows with the backoff. A failed test may cost such a request its response, so classes that bear a
-//!    repeat go first where they come along; where none does, the endpoint is tested all the same.
-//! 4. Tests by requests that are not safe are bounded to a share of all requests, [`RecoveryTestBudget`].
-//! 5. Where no endpoint is available (the panic threshold), a recovering endpoint takes any request, still one
-//!    at a time, and goes before those that are ejected or unresponsive.
+//! 3. A keyed request may test it once it was left untested for half as long as its latest ejection lasted,
+//!    a non-idempotent one after as long. The time runs from the end of the ejection or from the latest
+//!    test, so it grows with the backoff. A failed test may cost such a request its response, so classes
+//!    that bear a repeat go first where they come along; where none does, the endpoint is tested all the
+//!    same.
+//! 4. Tests by requests that are not safe are bounded to a share of all requests ([`RecoveryTestBudget`]).
+//! 5. Where no endpoint is available (the panic threshold), a recovering endpoint takes any request, still
+//!    one at a time, and goes before those that are ejected or unresponsive.
 //!
 //! A test is an attempt like any other: a non-idempotent request is sent again only if the test surely never
 //! ran (`attempts::retry_policy`).
--- a/tests/endpoint_selection.rs
+++ b/tests/endpoint_selection.rs
@@ -67,7 +67,7 @@
 #[test]
 fn selection_equals_a_plain_scan_at_up_to_46_000_endpoints() {
     let checks = [
-        Check { seed: 1, endpoint_count: 600, node_count: 300, event_count: 1_600 },
+        Check { seed: 1, endpoint_count: 600, node_count: 300, event_count: 2_000 },
         Check { seed: 2, endpoint_count: 4_600, node_count: 570, event_count: 300 },
         Check { seed: 3, endpoint_count: 46_000, node_count: 5_700, event_count: 90 },
     ];
--- a/tests/oracle/mod.rs
+++ b/tests/oracle/mod.rs
@@ -47,6 +47,8 @@
     consecutive_failures: u32,
     connection_resets: u32,
     ejected_until: Micros,
+    /// When an attempt was last sent to it while it was recovering.
+    recovery_tested_at: Micros,
     /// Requests it may be sent while it warms up, as of `slow_start_at` on the slow-start clock.
     slow_start_tokens: f64,
     slow_start_at: u64,
@@ -101,6 +103,8 @@
     /// The slow-start clock: what a warm endpoint of the subset was due, in millionths of a request.
     slow_start_clock: u64,
     retry_budget: f64,
+    /// Tests of recovering endpoints that requests which are not safe have left.
+    recovery_tests: f64,
     pub checked: CheckedAttempts,
 }
 
@@ -119,6 +123,7 @@
             connection_resets: FailureShare::default(),
             slow_start_clock: 0,
             retry_budget: 10.0,
+            recovery_tests: 1.0,
             checked: CheckedAttempts::default(),
         }
     }
@@ -188,6 +193,7 @@
             self.subset().iter().fold(0.0, |capacity, id| capacity + self.warm_fraction(&self.endpoints[id]));
         if self.place(&request.id, actions) {
             self.slow_start_clock += (1e6 / subset_capacity.max(1.0)) as u64;
+            self.recovery_tests = (self.recovery_tests + 0.1).min(2.0);
         }
     }
 
@@ -232,9 +238,11 @@
         });
         assert_eq!(sent_to, Some(endpoint), "where {id:?} goes, at {}", self.now);
         let is_in_subset = self.subset().contains(&endpoint);
+        let is_recovery_test = self.is_recovering(&self.endpoints[&endpoint]);
         let warm_fraction = self.warm_fraction(&self.endpoints[&endpoint]);
         let request = self.requests.get_mut(id).expect("a request");
-        let is_keyed = self.settings.classes[request.class].idempotency == Idempotency::Keyed;
+        let idempotency = self.settings.classes[request.class].idempotency;
+        let is_keyed = idempotency == Idempotency::Keyed;
         self.checked.all += 1;
         self.checked.beyond_subset += u32::from(!is_in_subset);
         self.checked.bound_repeats += u32::from(is_keyed && request.first_possible_run.is_some());
@@ -244,6 +252,11 @@
         let placement = Placement { zone: state.entry.zone, cell: state.entry.cell };
         request.attempts.push(Attempt { endpoint, placement, sent_at: self.now });
         state.in_flight.push(self.now);
+        if is_recovery_test {
+            state.recovery_tested_at = self.now;
+            let price = if idempotency == Idempotency::Safe { 0.0 } else { 1.0 };
+            self.recovery_tests = (self.recovery_tests - price).max(0.0);
+        }
         let turns = (self.slow_start_clock - state.slow_start_at) as f64 / 1e6;
         state.slow_start_tokens = (state.slow_start_tokens + warm_fraction * turns).min(1.5) - 1.0;
         state.slow_start_at = self.slow_start_clock;
@@ -359,8 +372,7 @@
     fn eject(&mut self, id: EndpointId) {
         let endpoint = self.endpoints.get_mut(&id).expect("an endpoint");
         if endpoint.ejected_until <= self.now {
-            let span = (400_000 << endpoint.consecutive_failures.min(8)).min(6_400_000);
-            endpoint.ejected_until = self.now + span;
+            endpoint.ejected_until = self.now + ejection_time(endpoint.consecutive_failures);
             endpoint.consecutive_failures += 1;
         }
     }
@@ -370,3 +382,8 @@
         self.latency + 4.0 * self.latency_deviation
     }
 }
+
+/// How long an endpoint is ejected after so many ejections since its last success.
+fn ejection_time(earlier_ejections: u32) -> Micros {
+    (400_000 << earlier_ejections.min(8)).min(6_400_000)
+}
--- a/tests/oracle/selection.rs
+++ b/tests/oracle/selection.rs
@@ -9,10 +9,19 @@
 /// Of a list longer than this only the subset is examined and, if nobody there is available, so many others.
 const MAX_EXAMINED: usize = 256;
 
+/// Whether an endpoint is expected to respond; the earlier is preferred.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+enum Availability {
+    Available,
+    /// Recovering, and the request may not test it.
+    Untested,
+    Unavailable,
+}
+
 /// How an endpoint ranks: the least is preferred, the fields count in this order.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
-    is_unavailable: bool,
+    availability: Availability,
     is_beyond_subset: bool,
     is_not_warming_and_due: bool,
     cost: f64,
@@ -70,7 +79,8 @@
         let span = self.subset().last().map_or(0, |&last| position(last) + 1);
         let mut random_state = self.random_state;
         let best_of_subset = self.best_of(id, exclude, &ring[..span], &mut random_state);
-        let nobody_is_available = best_of_subset.is_none_or(|best| best.rank.is_unavailable);
+        let nobody_is_available =
+            best_of_subset.is_none_or(|best| best.rank.availability != Availability::Available);
         if nobody_is_available && span < ring.len() {
             let rest = &ring[span..];
             let is_bound = rest.iter().any(|&endpoint| !self.is_in_deduplication_group(id, endpoint));
@@ -82,7 +92,7 @@
                 .chain(best_of_rest)
                 .min_by(|one, other| one.partial_cmp(other).expect("no NaN"));
             // A bound repeat finds an endpoint of its group, an available one if possible, wherever it is.
-            let availability = |best: Option<Ranked>| best.map(|best| best.rank.is_unavailable);
+            let availability = |best: Option<Ranked>| best.map(|best| best.rank.availability);
             assert!(
                 !is_bound || availability(found) == availability(best_of_all),
                 "{found:?} for {best_of_all:?}"
@@ -148,26 +158,47 @@
         if warm_fraction < 1.0 && endpoint.slow_start_tokens + warm_fraction * turns < 1.0 {
             return None;
         }
-        let is_available = endpoint.ejected_until <= self.now && !self.is_unresponsive(endpoint);
-        let is_recovering = is_available && endpoint.consecutive_failures > 0;
-        if is_recovering && !self.may_test_recovery(id, endpoint) {
-            return None;
-        }
+        let availability = self.availability(id, endpoint)?;
         let is_in_subset = comparison.subset.contains(&endpoint_id);
         let is_warming_and_due = is_in_subset && warm_fraction < 1.0 && endpoint.consecutive_failures == 0;
         Some(Rank {
-            is_unavailable: !is_available,
+            availability,
             is_beyond_subset: !is_in_subset,
             is_not_warming_and_due: !is_warming_and_due,
             cost: self.cost(comparison, endpoint, warm_fraction, random_state),
         })
     }
 
-    /// Only a single safe request shows whether an endpoint has recovered.
+    /// Whether an endpoint is expected to respond; none while the one attempt that tests it is in flight.
+    fn availability(&self, id: &RequestId, endpoint: &Endpoint) -> Option<Availability> {
+        if endpoint.ejected_until > self.now || self.is_unresponsive(endpoint) {
+            return Some(Availability::Unavailable);
+        }
+        if !self.is_recovering(endpoint) {
+            return Some(Availability::Available);
+        }
+        let is_tested = endpoint.in_flight.last().is_some_and(|&sent_at| sent_at >= endpoint.ejected_until);
+        let may_test = self.may_test_recovery(id, endpoint);
+        (!is_tested).then_some(if may_test { Availability::Available } else { Availability::Untested })
+    }
+
+    /// Whether an endpoint's ejection is over, with no success since.
+    pub(super) fn is_recovering(&self, endpoint: &Endpoint) -> bool {
+        let is_out = endpoint.ejected_until > self.now || self.is_unresponsive(endpoint);
+        !is_out && endpoint.consecutive_failures > 0
+    }
+
+    /// A safe request shows at once whether an endpoint has recovered, a keyed one half an ejection later, another
+    /// a whole one later, and these two within their budget.
     fn may_test_recovery(&self, id: &RequestId, endpoint: &Endpoint) -> bool {
         let class = &self.settings.classes[self.requests[id].class];
-        let is_tested = endpoint.in_flight.last().is_some_and(|&sent_at| sent_at >= endpoint.ejected_until);
-        class.idempotency == Idempotency::Safe && !is_tested
+        let untested_for = self.now - endpoint.ejected_until.max(endpoint.recovery_tested_at);
+        let ejection = super::ejection_time(endpoint.consecutive_failures - 1);
+        match class.idempotency {
+            Idempotency::Safe => true,
+            Idempotency::Keyed => self.recovery_tests >= 1.0 && untested_for >= ejection / 2,
+            Idempotency::NonIdempotent => self.recovery_tests >= 1.0 && untested_for >= ejection,
+        }
     }
 
     fn cost(
