Count calls to the counter that fail together as one failure

Callers saw: after a hiccup of the counter with four or more calls in flight, no call for 0.4 to 0.8 s in place of 25 to 50 ms; meanwhile the even share decided, and admissions beyond quota were free. Cause: each failed call doubled the backoff and began the pause anew, also those in flight as the pause began. Change: a failed call counts only if it was sent after the latest pause began. Evidence: calls_that_fail_together_count_as_one_failure failed before, passes now.

--- a/src/decision/quota/counter_health.rs
+++ b/src/decision/quota/counter_health.rs
@@ -20,13 +20,15 @@
 /// The health of the counter service, as its replies to this node show it.
 pub(super) struct CounterHealth {
     backoff: Micros,
+    /// When the latest pause began; 0 before the first.
+    paused_at: Micros,
     paused_until: Micros,
     ask_share: f64,
 }
 
 impl CounterHealth {
     pub fn new() -> Self {
-        CounterHealth { backoff: FIRST_BACKOFF, paused_until: 0, ask_share: 1.0 }
+        CounterHealth { backoff: FIRST_BACKOFF, paused_at: 0, paused_until: 0, ask_share: 1.0 }
     }
 
     /// Whether the service may be called now.
@@ -34,8 +36,8 @@
         settings.counter.enabled && now >= self.paused_until
     }
 
-    /// Whether the backoff has reached its longest since the latest total. Failed calls in flight together,
-    /// each of which doubles it, reach that as well as calls one after another.
+    /// Whether the backoff has reached its longest since the latest total, by calls that failed one after
+    /// another.
     pub fn has_failed_repeatedly(&self) -> bool {
         self.backoff >= LONGEST_BACKOFF
     }
@@ -65,7 +67,7 @@
         if let CounterReply::Total(_) = reply {
             self.backoff = FIRST_BACKOFF;
             self.paused_until = 0;
-        } else {
+        } else if call.sent_at >= self.paused_at {
             self.pause(now, random);
         }
     }
@@ -81,8 +83,10 @@
     }
 
     /// Lets an unresponsive or overloaded service recover. The random half of the pause keeps the nodes
-    /// from coming back in step.
+    /// from coming back in step. Calls that were in flight as a pause began show the same failure as the one
+    /// that led to it, and lengthen neither that pause nor the next.
     fn pause(&mut self, now: Micros, random: &mut RandomSource) {
+        self.paused_at = now;
         let jitter = (random.uniform() * self.backoff as f64 / 2.0) as Micros;
         self.paused_until = now + self.backoff / 2 + jitter;
         self.backoff = (self.backoff * 2).min(LONGEST_BACKOFF);
