Reject a keyed request as harmless only while its repeats are dropped

Callers saw: 503, a promise of no effect, for a keyed request that may have run, also where endpoints no longer drop its repeat. Cause: is_client_retry_harmless looked at the deduplication scope and not at the window. Change: rejected only if the window lasts until the client stops waiting, else failed. Evidence: keyed_request_is_rejected_only_if_its_repeats_are_dropped_until_its_client_stops_waiting failed before, passes now.

--- a/src/decision/attempts/final_response.rs
+++ b/src/decision/attempts/final_response.rs
@@ -65,18 +65,19 @@
 }
 
 /// Whether the request can't take effect twice if the client sends it again: it never ran, it is safe, or all
-/// endpoints drop its repeats.
+/// endpoints drop its repeats for as long as the client may send them.
 ///
 /// `RetryPolicy::is_safe_to_repeat` has the rule for the node's own retries. It differs for keyed requests:
-/// the node sends its retry within the deduplication scope and knows when, so the window counts there. A
-/// client's retry may reach any endpoint, so the scope counts here.
+/// the node sends its retry within the deduplication scope and knows when. A client's retry may reach any
+/// endpoint, and come at any time until the client stops waiting.
 fn is_client_retry_harmless(pending: &PendingRequest, class: &RequestClass) -> bool {
-    if pending.first_possible_run.is_none() {
-        return true;
-    }
+    let Some(possible_run) = pending.first_possible_run else { return true };
     match class.idempotency {
         Idempotency::Safe => true,
-        Idempotency::Keyed => class.deduplication_scope == DeduplicationScope::All,
+        Idempotency::Keyed => {
+            let window_ends_at = possible_run.sent_at + class.deduplication_window;
+            class.deduplication_scope == DeduplicationScope::All && pending.request.deadline <= window_ends_at
+        }
         Idempotency::NonIdempotent => false,
     }
 }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -7,7 +7,8 @@
     started_attempts, NodeUnderTest, StartedAttempt, KEYED, MILLISECOND, NON_IDEMPOTENT, SAFE, SECOND,
 };
 use edge_node::decision::{
-    AccountId, CounterKey, EndpointId, EndpointState, EndpointUpdateKind, Event, Micros, NewRequest, Outcome,
+    AccountId, CounterKey, DeduplicationScope, EndpointId, EndpointState, EndpointUpdateKind, Event, Micros,
+    NewRequest, Outcome,
 };
 
 /// A request of account 1 with an id of its own.
@@ -84,6 +85,22 @@
     }
 }
 
+#[test]
+fn keyed_request_is_rejected_only_if_its_repeats_are_dropped_until_its_client_stops_waiting() {
+    // Clients wait for 2 s.
+    for (window, is_rejected) in [(2 * SECOND, true), (2 * SECOND - MILLISECOND, false)] {
+        let mut settings = settings_without_quota();
+        settings.classes[KEYED].deduplication_scope = DeduplicationScope::All;
+        settings.classes[KEYED].deduplication_window = window;
+        settings.limits.max_attempts = 1;
+        let mut node = NodeUnderTest::new(settings, 2);
+        let attempt = node.request_started(KEYED);
+        let actions = node.end_attempt(&attempt, 0, Outcome::Reset);
+        assert_eq!(rejection(&actions).is_some(), is_rejected, "a window of {window}");
+        assert_eq!(has_failure(&actions), !is_rejected, "a window of {window}");
+    }
+}
+
 #[test]
 fn retry_that_comes_at_its_deadline_is_rejected_at_once() {
     let mut node = NodeUnderTest::new(settings_without_quota(), 2);
