Leave other nodes their even share of attempts in flight while the counter is silent

Seen by reading: without totals the estimate of what other nodes have in flight decays to zero, so each node used all of max_in_flight. Change: without a total for 4 s the other nodes count with their even share. Evidence: silent_counter_leaves_the_even_share_of_the_attempts_in_flight failed before (6 at once, 2 are right), passes now.

--- a/src/decision/quota/account.rs
+++ b/src/decision/quota/account.rs
@@ -80,13 +80,14 @@
     }
 
     /// Whether the plan's quota of attempts in flight is used up. Of its slots the other nodes occupy what
-    /// their recent draws keep in flight. A node with no more than one attempt in flight is never held back.
+    /// their recent draws keep in flight; where no recent total shows these, their even share. A node with no
+    /// more than one attempt in flight is never held back.
     pub fn is_concurrency_exhausted(&self, plan: &Plan, fleet_mean_latency: f64, now: Micros) -> bool {
         if plan.max_in_flight == 0 {
             return false;
         }
         let slots = plan.max_in_flight as f64;
-        let in_flight_elsewhere = if self.bucket.is_known() {
+        let in_flight_elsewhere = if self.bucket.shows_other_nodes(now) {
             let requests_elsewhere = self.bucket.draw_rate_elsewhere(now) / self.demand.mean_units.max(0.1);
             requests_elsewhere * fleet_mean_latency / MICROS_PER_SECOND
         } else {
--- a/src/decision/quota/fleet_bucket.rs
+++ b/src/decision/quota/fleet_bucket.rs
@@ -12,6 +12,10 @@
 use crate::decision::estimators::{DecayingRate, MICROS_PER_SECOND};
 use crate::decision::{Micros, Plan};
 
+/// A total shows what other nodes draw for this long. It is longer than a lease lies idle, so where it has
+/// passed the counter has not replied though the account was in use.
+const TOTAL_LIFETIME: Micros = 4_000_000;
+
 /// The counter's total as it was last seen.
 #[derive(Clone, Copy)]
 struct SeenTotal {
@@ -71,6 +75,11 @@
         self.last_total.is_some()
     }
 
+    /// Whether a total was seen so lately that it shows what other nodes draw.
+    pub fn shows_other_nodes(&self, now: Micros) -> bool {
+        self.is_known() && now < self.updated_at + TOTAL_LIFETIME
+    }
+
     /// The total that was last seen in this window; 0 if there was none.
     pub fn last_total_in(&self, window: CounterWindow) -> f64 {
         self.seen_in(window).unwrap_or(0.0)
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{
-    counter_call, rejection, settings_with_quota, started_attempts, FakeCounter, NodeUnderTest, MILLISECOND,
-    SAFE, SECOND,
+    counter_call, rejection, settings_with_quota, started_attempts, FakeCounter, NodeUnderTest,
+    StartedAttempt, MILLISECOND, SAFE, SECOND,
 };
 use edge_node::decision::{Event, Micros, Outcome, Settings};
 
@@ -43,6 +43,20 @@
     None
 }
 
+/// Sends so many requests at once while every call to the counter times out. Returns the attempts.
+fn started_while_silent(node: &mut NodeUnderTest, requests: u32) -> Vec<StartedAttempt> {
+    let mut attempts = Vec::new();
+    for _ in 0..requests {
+        let mut actions = node.request(SAFE, 1.0).actions;
+        attempts.extend(started_attempts(&actions));
+        while let Some(call) = counter_call(&actions) {
+            actions = node.end_counter_call(call, Outcome::TimedOut, 0.0);
+            attempts.extend(started_attempts(&actions));
+        }
+    }
+    attempts
+}
+
 /// Settings in which spacings are short enough for several deferrals.
 fn settings_with_fast_quota() -> Settings {
     let mut settings = settings_with_quota();
@@ -110,6 +124,31 @@
     assert!(admitted <= 4, "{admitted} units at once, the even share of the burst is 4");
 }
 
+#[test]
+fn silent_counter_leaves_the_even_share_of_the_attempts_in_flight() {
+    let mut settings = settings_with_quota();
+    settings.plans[0].max_in_flight = 6;
+    settings.plans[0].quota_units_per_second = 100.0;
+    settings.plans[0].burst_units = 600.0;
+    let mut node = NodeUnderTest::new(settings, 4);
+    let mut counter = FakeCounter::default();
+    send_steadily(&mut node, &mut counter, 5);
+    let mut most_in_flight = 0;
+    for _ in 0..20 {
+        node.advance(SECOND);
+        node.tick();
+        let attempts = started_while_silent(&mut node, 10);
+        // The totals before the silence show that nobody else has attempts in flight, but not for long.
+        if node.now >= 110 * SECOND {
+            most_in_flight = most_in_flight.max(attempts.len());
+        }
+        for attempt in &attempts {
+            node.complete(attempt);
+        }
+    }
+    assert!((1..=2).contains(&most_in_flight), "{most_in_flight} at once, the even share of 6 is 2");
+}
+
 #[test]
 fn units_beyond_the_bucket_are_released() {
     let mut node = NodeUnderTest::new(settings_with_quota(), 4);
