Hold descriptors by requests that wait for the counter in the test of the backlog

The test filled the clients' descriptors with requests that lack a byte. Since half-sent requests give way where descriptors run out, the late client no longer waited in the backlog until the listener closed, and the test forced nothing. Three requests that wait for a silent counter hold the descriptors now; all checks are as they were.

--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use fakes::{
-    active, paid_request, request, Client, FakeCounter, FakeEndpoint, NodeConfiguration, ReceivedRequest,
-    RequestSpec,
+    active, paid_request, request, Client, CounterCall, FakeCounter, FakeEndpoint, NodeConfiguration,
+    ReceivedRequest, RequestSpec,
 };
 
 #[test]
@@ -31,15 +31,21 @@
 #[test]
 fn a_connection_that_waits_for_a_descriptor_when_the_listener_closes_is_answered() {
     let endpoint = FakeEndpoint::start();
+    let counter = FakeCounter::start();
     // Descriptors for nine clients.
-    let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)]).descriptors(40).start();
-    let mut texts: [String; 9] = from_fn(|number| request("post", &format!("p-{number}")).text());
-    // A connection with a request that lacks a byte is neither idle nor does it start an attempt.
-    for text in &mut texts[6..] {
-        text.truncate(text.len() - 1);
-    }
+    let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)])
+        .counter(counter.address)
+        .counter_timeout(20_000_000)
+        .descriptors(40)
+        .start();
+    // A connection whose request waits for the counter is neither idle nor does it start an attempt.
+    let texts: [String; 9] = from_fn(|number| match number {
+        0..6 => request("post", &format!("p-{number}")).text(),
+        _ => paid_request_of_account(number),
+    });
     let _busy_clients = edge.connect_having_sent(texts);
     let in_flight: Vec<ReceivedRequest> = (0..6).map(|_| endpoint.next_request()).collect();
+    let _unanswered: Vec<CounterCall> = (6..9).map(|_| counter.next_call()).collect();
     // Connected as far as the kernel is concerned, though no descriptor is left for it.
     let mut late_client = edge.connect();
     late_client.send(&request("post", "p-late"));
@@ -49,6 +55,12 @@
     assert!(edge.wait_for_end().status.success());
 }
 
+/// A request of the plan with a quota, of an account of its own.
+fn paid_request_of_account(account: usize) -> String {
+    let text = paid_request("post", &format!("paid-{account}")).text();
+    text.replace("key=0000000000000007", &format!("key={:016x}", 0x10 + account))
+}
+
 #[test]
 fn a_request_read_in_part_when_idle_connections_close_is_served() {
     let endpoint = FakeEndpoint::start();
