--- /dev/null
+++ b/tests/closing_connections.rs
@@ -0,0 +1,93 @@
+//! Requests that cross the close of an idle connection, at a node in the test's own process: the test writes to the
+//! socket and asks for the close before the runtime can have learned of the bytes.
+
+mod fakes;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use edge_node::decision::{DecisionEngine, Settings};
+use edge_node::net::counter::CounterClient;
+use edge_node::net::descriptor_budget::DescriptorBudget;
+use edge_node::net::discovery::labels::PlacementLabels;
+use edge_node::net::discovery::{Discovery, WatchSchedule};
+use edge_node::net::downstream::{DownstreamServer, RequestRules};
+use edge_node::net::event_loop::EventLoop;
+use edge_node::net::upstream::Upstreams;
+use edge_node::protocol::settings::SettingsDocument;
+use fakes::{node_settings, unreachable_address, Client, HttpMessage};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, LocalOptions};
+use tokio::task::{spawn_blocking, spawn_local};
+
+const READINESS_CHECK: &str = "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n";
+
+/// The downstream side of a node without endpoints, and where it listens.
+struct Server {
+    downstream: Rc<DownstreamServer>,
+    address: SocketAddr,
+}
+
+impl Server {
+    async fn start() -> Server {
+        let document: SettingsDocument = serde_json::from_value(node_settings()).expect("settings");
+        let rules = RequestRules::new(&document);
+        let settings = Settings::from(document);
+        let budget = DescriptorBudget::new(64);
+        let upstreams = Upstreams::new(budget.clone(), 250_000, 10_000_000);
+        let labels = PlacementLabels::new(Vec::new(), Vec::new());
+        let schedule = WatchSchedule::new(1, settings.node_count, false);
+        let discovery = Discovery::new(unreachable_address(), upstreams.clone(), labels, schedule);
+        let counter = CounterClient::new(None, settings.counter.timeout);
+        let event_loop =
+            EventLoop::new(DecisionEngine::new(1, settings), 4, upstreams, counter, discovery.clone());
+        let downstream = DownstreamServer::new(event_loop, rules, budget);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        spawn_local(downstream.clone().accept(listener, async {}));
+        Server { downstream, address }
+    }
+
+    /// A client whose connection has served a request and is idle.
+    async fn idle_client(&self) -> Client {
+        let address = self.address;
+        let mut client = spawn_blocking(move || Client::connect(address)).await.expect("no panic");
+        client.send_raw(READINESS_CHECK);
+        let (client, response) = response_of(client).await;
+        assert_eq!(response.expect("a response").status(), 200);
+        client
+    }
+}
+
+/// Waits for the next response of a client on a thread of its own, while the node runs on this one.
+async fn response_of(mut client: Client) -> (Client, Option<HttpMessage>) {
+    let waiting = spawn_blocking(move || {
+        let response = client.response_or_end();
+        (client, response)
+    });
+    waiting.await.expect("no panic")
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let mut builder = Builder::new_current_thread();
+    let runtime = builder.enable_all().build_local(LocalOptions::default()).expect("a runtime");
+    runtime.block_on(test);
+}
+
+#[test]
+fn request_unread_as_its_idle_connection_closes_is_served_and_told_of_the_close() {
+    run(async {
+        let server = Server::start().await;
+        let mut client = server.idle_client().await;
+        // No turn of the runtime between these two.
+        client.send_raw(READINESS_CHECK);
+        server.downstream.close_idle_connections();
+        let (client, response) = response_of(client).await;
+        let response = response.expect("the connection was closed over an unread request");
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.header("connection"), Some("close"));
+        let (_, end) = response_of(client).await;
+        assert!(end.is_none(), "the connection ends with that response");
+    });
+}
--- a/tests/fakes/client.rs
+++ b/tests/fakes/client.rs
@@ -4,6 +4,8 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
+
 use super::http::{read_message, HttpMessage};
 use super::TEST_TIMEOUT;
 
@@ -60,6 +62,16 @@
         Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream }
     }
 
+    /// Connects to a node with a receive buffer of this many bytes, about: what does not fit stays with the node.
+    pub fn connect_with_receive_buffer(address: SocketAddr, bytes: usize) -> Client {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(bytes).expect("a buffer");
+        socket.connect(&address.into()).expect("the node accepts");
+        let stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
+        Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream }
+    }
+
     /// Sends this text.
     pub fn send_raw(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("an open connection");
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -113,6 +113,25 @@
     assert!(client.is_closed_cleanly(), "the connection was reset");
 }
 
+#[test]
+fn a_response_that_its_client_reads_late_is_not_lost_by_unread_bytes_behind_its_request() {
+    let endpoint = FakeEndpoint::start();
+    let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)]).start();
+    let mut client = Client::connect_with_receive_buffer(edge.address, 4_096);
+    client.send(&request("post", "p-1"));
+    let in_flight = endpoint.next_request();
+    edge.terminate_and_wait();
+    client.send_raw(&"x".repeat(100_000));
+    in_flight.respond_ok(&"y".repeat(64 * 1024));
+    // The process has closed the connection by then, and most of the response lies in its kernel's buffer: a close
+    // over unread bytes drops that.
+    assert!(edge.wait_for_end().status.success());
+    let response = client.response();
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.body.len(), 64 * 1024);
+    assert!(client.is_closed_cleanly(), "the connection was reset");
+}
+
 #[test]
 fn a_second_sigterm_and_a_new_configuration_do_not_disturb_a_shutdown() {
     let endpoint = FakeEndpoint::start();
