--- a/crates/scale-bench/src/fakes.rs
+++ b/crates/scale-bench/src/fakes.rs
@@ -6,13 +6,13 @@
 pub mod endpoint_list;
 pub mod endpoints;
 pub mod hash;
-mod listener;
+pub(crate) mod listener;
 mod resp;
 pub mod traffic;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Locks a mutex, also after a panic elsewhere: every mutex here holds counts and lists that are valid at any time.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/scale-bench/src/fakes/counter_service.rs
+++ b/crates/scale-bench/src/fakes/counter_service.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Semaphore};
@@ -41,6 +42,19 @@
     pub delay: Duration,
 }
 
+/// How the service treats its clients.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CounterMode {
+    /// It replies.
+    Serving,
+    /// It withholds its replies; those withheld are sent once it is not silent any more.
+    Silent,
+    /// It rejects every call with `-BUSY`.
+    Busy,
+    /// It resets every connection as it is accepted, and has closed those that were open.
+    Resetting,
+}
+
 /// Calls so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallCounts {
@@ -74,7 +88,7 @@
     address: SocketAddr,
     capacity: CounterCapacity,
     counters: Mutex<Counters>,
-    silent: watch::Sender<bool>,
+    mode: watch::Sender<CounterMode>,
     traffic: Arc<Traffic>,
     connections: Arc<Semaphore>,
     calls: AtomicU64,
@@ -92,7 +106,7 @@
             address: listener.local_addr()?,
             capacity,
             counters: Mutex::new(Counters::new(&capacity)),
-            silent: watch::channel(false).0,
+            mode: watch::channel(CounterMode::Serving).0,
             traffic: Arc::default(),
             connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
             calls: AtomicU64::new(0),
@@ -117,19 +131,33 @@
         CallCounts { calls: self.calls.load(Ordering::Relaxed), busy: self.busy.load(Ordering::Relaxed) }
     }
 
-    /// Sets whether it withholds its replies; those withheld are sent once it is not silent any more.
+    /// Sets whether it withholds its replies.
     pub fn set_silent(&self, silent: bool) {
-        self.silent.send_replace(silent);
+        self.set_mode(if silent { CounterMode::Silent } else { CounterMode::Serving });
+    }
+
+    /// Sets how it treats its clients from now on.
+    pub fn set_mode(&self, mode: CounterMode) {
+        self.mode.send_replace(mode);
     }
 
     async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
             let stream = accept(&listener).await;
+            if *self.mode.borrow() == CounterMode::Resetting {
+                // Where it can't be set the connection is closed instead.
+                let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                continue;
+            }
             let Ok(permit) = self.connections.clone().try_acquire_owned() else { continue };
             let service = self.clone();
             tokio::spawn(async move {
                 let _permit = permit;
-                service.serve_connection(stream).await;
+                let mut mode = service.mode.subscribe();
+                tokio::select! {
+                    () = service.serve_connection(stream) => {}
+                    _ = mode.wait_for(|mode| *mode == CounterMode::Resetting) => {}
+                }
             });
         }
     }
@@ -138,7 +166,7 @@
         let stream = MeteredStream { stream, traffic: self.traffic.clone() };
         let (read_half, write_half) = tokio::io::split(stream);
         let (replies, pending) = mpsc::channel(MAX_PENDING_REPLIES);
-        let writer = tokio::spawn(write_replies(write_half, pending, self.silent.subscribe()));
+        let writer = tokio::spawn(write_replies(write_half, pending, self.mode.subscribe()));
         let mut reader = BufReader::new(read_half);
         while let Ok(Some(words)) = read_call(&mut reader).await {
             if replies.send(self.reply(&words)).await.is_err() {
@@ -171,7 +199,7 @@
             return b"-ERR a name, an amount or a life out of bounds\r\n".to_vec();
         };
         let mut counters = lock(&self.counters);
-        if !counters.take_token(&self.capacity, now) {
+        if *self.mode.borrow() == CounterMode::Busy || !counters.take_token(&self.capacity, now) {
             self.busy.fetch_add(1, Ordering::Relaxed);
             return b"-BUSY\r\n".to_vec();
         }
@@ -230,12 +258,12 @@
 async fn write_replies(
     mut connection: impl AsyncWrite + Unpin,
     mut pending: mpsc::Receiver<Reply>,
-    mut silent: watch::Receiver<bool>,
+    mut mode: watch::Receiver<CounterMode>,
 ) {
     while let Some(reply) = pending.recv().await {
         sleep_until(reply.send_at).await;
         // This fails only once the service has ended.
-        let _ = silent.wait_for(|silent| !silent).await;
+        let _ = mode.wait_for(|mode| *mode != CounterMode::Silent).await;
         if connection.write_all(&reply.text).await.is_err() {
             return;
         }
--- a/crates/scale-bench/src/lib.rs
+++ b/crates/scale-bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`fleet`]: many decision engines on one simulated clock, before model endpoints and one counter service.
 //! - [`decisions`]: what the decision engine takes for a request, a timer and a list, alone.
 //! - [`slopes`]: a ladder of sizes, and how each figure grows along it.
+//! - [`soak`]: many short plays of one real node under seeded faults, and the rules of the service checked on each.
 #![forbid(unsafe_code)]
 
 pub mod decisions;
@@ -15,3 +16,4 @@
 pub mod node;
 pub mod report;
 pub mod slopes;
+pub mod soak;
--- a/crates/scale-bench/src/main.rs
+++ b/crates/scale-bench/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use scale_bench::error::{report_result, report_usage};
-use scale_bench::{decisions, fleet, node, slopes};
+use scale_bench::{decisions, fleet, node, slopes, soak};
 
 const PROGRAM: &str = "scale-bench";
 
@@ -29,6 +29,8 @@
     Decisions(decisions::Options),
     /// A ladder of sizes, and how each figure grows along it
     Slopes(slopes::Options),
+    /// Short plays of one real edge node under faults drawn from a seed, checked by the rules of the service
+    Soak(soak::Options),
 }
 
 fn main() -> ExitCode {
@@ -41,6 +43,7 @@
         Command::Fleet(options) => fleet::run(options),
         Command::Decisions(options) => decisions::run(options),
         Command::Slopes(options) => slopes::run(options),
+        Command::Soak(options) => soak::run(options),
     };
     report_result(PROGRAM, result)
 }
--- a/crates/scale-bench/src/node.rs
+++ b/crates/scale-bench/src/node.rs
@@ -1,14 +1,14 @@
 //! One real edge node process before fakes of all its peers.
 
-mod configuration;
+pub(crate) mod configuration;
 mod figures;
-mod limits;
+pub(crate) mod limits;
 pub mod load;
 mod option_values;
 mod options;
 mod peers;
 mod phases;
-mod process;
+pub(crate) mod process;
 mod usage;
 
 use std::time::Duration;
--- a/crates/scale-bench/src/node/configuration.rs
+++ b/crates/scale-bench/src/node/configuration.rs
@@ -30,6 +30,13 @@
     pub cumulative_share: f64,
 }
 
+impl RequestClass {
+    /// Whether a request may run twice, or its repeats are dropped.
+    pub fn is_idempotent(&self) -> bool {
+        self.idempotency != "unsafe"
+    }
+}
+
 /// The classes: most requests are safe to repeat, some are keyed, few must never run twice.
 pub const CLASSES: [RequestClass; 3] = [
     RequestClass {
--- a/crates/scale-bench/src/node/process.rs
+++ b/crates/scale-bench/src/node/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Stdio;
+use std::process::{ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use rustix::process::{kill_process, Pid, Signal};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, ChildStderr, Command};
@@ -23,6 +24,8 @@
 
 /// Comes before the address in the log line that says where the edge node listens.
 const LISTENING: &str = "listening on ";
+/// A log line with this tells of a panic.
+const PANICKED: &str = "panicked";
 /// Pause between readiness checks.
 const READINESS_INTERVAL: Duration = Duration::from_millis(2);
 /// How long one readiness check may take: an edge node may accept its connection and be ready only later.
@@ -37,6 +40,8 @@
 struct LogSummary {
     line_count: u64,
     last_line: String,
+    /// The first line that tells of a panic.
+    panic_line: Option<String>,
 }
 
 /// An edge node's process, killed when dropped.
@@ -115,6 +120,27 @@
         }
     }
 
+    /// Sends it a signal. It may have ended.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.id().and_then(|id| Pid::from_raw(id as i32));
+        if let Some(id) = id {
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Waits until the process ends by itself; none if it has not by then.
+    pub async fn exit_status(&mut self, limit: Duration) -> Option<ExitStatus> {
+        timeout(limit, self.child.wait()).await.ok()?.ok()
+    }
+
+    /// Waits until the log of a process that has ended is read, and returns the first line that tells of a panic.
+    pub async fn panic_line(&mut self) -> Option<String> {
+        if let Some(log_reader) = self.log_reader.take() {
+            let _ = timeout(LOG_DRAIN_TIME, log_reader).await;
+        }
+        lock(&self.log).panic_line.clone()
+    }
+
     /// Kills the process and waits for its end.
     pub async fn kill(mut self) {
         // It may have ended by itself.
@@ -135,6 +161,9 @@
         }
         let mut log = lock(&log);
         log.line_count += 1;
+        if log.panic_line.is_none() && line.contains(PANICKED) {
+            log.panic_line = Some(line.chars().take(MAX_LOG_LINE).collect());
+        }
         log.last_line = line.chars().take(MAX_LOG_LINE).collect();
     }
 }
