Give slow requests less time while they hold most of the descriptors

Cause: each slow client held its descriptor for 0.75 s, and there were more than two fillings of them before the others. Change: while partial requests hold half of the clients' share, each has 0.3 s from its first byte.

--- a/src/net/descriptor_budget.rs
+++ b/src/net/descriptor_budget.rs
@@ -231,6 +231,11 @@
             || self.close_first_idle(|_| !self.is_flooded())
     }
 
+    /// Whether client connections with a partial request hold at least half of the clients' share.
+    pub fn is_flooded_by_partial_requests(&self) -> bool {
+        self.partial_requests.borrow().len() * 2 >= self.max_downstream
+    }
+
     fn is_flooded(&self) -> bool {
         self.unclassified.get() * 2 >= self.max_downstream
     }
--- a/src/net/downstream/connection_state.rs
+++ b/src/net/downstream/connection_state.rs
@@ -21,8 +21,11 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Where descriptors run out, a request that has arrived in part is given up this long after its latest byte...
 const PARTIAL_REQUEST_STALL: Duration = Duration::from_millis(200);
-/// ... and at the latest this long after its first. A client that sends a request in pieces has this time.
+/// ... and at the latest this long after its first. A client that sends a request in pieces has this time...
 const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_millis(750);
+/// ... or this, while slow clients hold most of the descriptors: others wait for as many times this as the slow ones
+/// fill the descriptors.
+const FLOODED_PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The connection's place among those that may give way where descriptors run out.
 #[derive(Clone, Copy)]
@@ -172,7 +175,7 @@
     pub fn may_give_up_partial_request(&self, has_unread_bytes: impl FnOnce() -> bool) -> bool {
         let is_received = self.request_in_progress.get() && !self.body_awaited.get();
         let since = self.partial_request_since.get();
-        let is_overdue = since.is_some_and(|since| since.elapsed() >= PARTIAL_REQUEST_TIMEOUT);
+        let is_overdue = since.is_some_and(|since| since.elapsed() >= self.partial_request_timeout());
         !is_received && (is_overdue || self.head_overdue() || !has_unread_bytes())
     }
 
@@ -219,6 +222,14 @@
         self.eviction_registration.set(Some(EvictionRegistration::Idle(registration)));
     }
 
+    fn partial_request_timeout(&self) -> Duration {
+        if self.budget.is_flooded_by_partial_requests() {
+            FLOODED_PARTIAL_REQUEST_TIMEOUT
+        } else {
+            PARTIAL_REQUEST_TIMEOUT
+        }
+    }
+
     /// Registers that a part of a request came just now, unless the connection is too new to give way.
     fn register_partial_request(&self) {
         let now = Instant::now();
@@ -228,7 +239,7 @@
             return;
         }
         self.deregister();
-        let evictable_at = (now + PARTIAL_REQUEST_STALL).min(since + PARTIAL_REQUEST_TIMEOUT);
+        let evictable_at = (now + PARTIAL_REQUEST_STALL).min(since + self.partial_request_timeout());
         let registration = self.budget.register_partial_request(self.give_up_requested.clone(), evictable_at);
         self.eviction_registration.set(Some(EvictionRegistration::PartialRequest(registration)));
     }
--- a/tests/fakes/client.rs
+++ b/tests/fakes/client.rs
@@ -77,6 +77,11 @@
         self.stream.write_all(text.as_bytes()).expect("an open connection");
     }
 
+    /// Sends this text, unless the connection has ended. Returns whether it was sent.
+    pub fn try_send_raw(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
     /// Sends a request.
     pub fn send(&mut self, request: &RequestSpec) {
         self.send_raw(&request.text());
--- a/tests/node_descriptor_limit.rs
+++ b/tests/node_descriptor_limit.rs
@@ -3,6 +3,9 @@
 mod fakes;
 
 use std::array::from_fn;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
 
 use fakes::{active, assert_served_by, request, Client, EdgeProcess, FakeEndpoint, NodeConfiguration};
 
@@ -114,3 +117,41 @@
     let text = request("post", "p-0").text();
     assert_half_sent_requests_give_way_soon(&text[..text.len() - 1]);
 }
+
+#[test]
+fn slow_requests_give_way_where_descriptors_run_out() {
+    let empty_node = small_node();
+    let SmallNode { endpoint, edge } = small_node();
+    let text = request("post", "p-0").text();
+    let connect_half_sent = |edge: &EdgeProcess| {
+        let mut client = edge.connect();
+        client.send_raw(&text[..1]);
+        client
+    };
+    // More than four times as many as there are descriptors for.
+    let (crowd, mut client, mut alone) = edge.while_suspended(|| {
+        let crowd: Vec<Client> = (0..40).map(|_| connect_half_sent(&edge)).collect();
+        let mut client = edge.connect();
+        client.send(&request("lookup", "l-1"));
+        (crowd, client, connect_half_sent(&empty_node.edge))
+    });
+    let has_ended = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| send_slowly(crowd, &text[1..], &has_ended));
+        endpoint.next_request().respond_ok("ok");
+        client.assert_ok("ok");
+        has_ended.store(true, Ordering::Relaxed);
+    });
+    assert!(alone.is_still_waiting(), "a client without a crowd was given up first");
+}
+
+/// Sends a byte of a request on each connection now and then, until the test has ended.
+fn send_slowly(mut clients: Vec<Client>, text: &str, has_ended: &AtomicBool) {
+    for byte in text.chars() {
+        sleep(Duration::from_millis(50));
+        if has_ended.load(Ordering::Relaxed) {
+            return;
+        }
+        clients.retain_mut(|client| client.try_send_raw(&byte.to_string()));
+    }
+}
