--- a/crates/scale-bench/src/fleet.rs
+++ b/crates/scale-bench/src/fleet.rs
@@ -19,6 +19,7 @@
 mod endpoint_list;
 mod event_queue;
 mod failure;
+mod failure_name;
 mod figures;
 mod measurements;
 mod network;
@@ -29,7 +30,7 @@
 mod scenario;
 mod world;
 
-pub use failure::Failure;
+pub use failure_name::Failure;
 pub use scenario::Scenario;
 
 /// The world runs on for this long after the measured time, until its last requests are over: longer than the
--- a/crates/scale-bench/src/fleet/failure.rs
+++ b/crates/scale-bench/src/fleet/failure.rs
@@ -2,14 +2,13 @@
 //!
 //! A [`FailurePlan`] only says what happens; the simulated world carries its effects out.
 
-use clap::ValueEnum;
 use edge_node::decision::Micros;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::Rng;
-use serde::Serialize;
 
 use super::counter::CounterMode;
+use super::failure_name::Failure;
 use super::node::{EndpointIndex, NodeIndex};
 use super::scenario::Scenario;
 
@@ -18,30 +17,6 @@
 /// With `restart-tenth` one node in this many restarts.
 const RESTARTED_NODE_DIVISOR: usize = 10;
 
-/// A failure, or a planned change that has to go unnoticed.
-#[derive(ValueEnum, Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Failure {
-    /// Nothing fails
-    Calm,
-    /// A tenth of the nodes die at once and start again with empty state and an old list
-    RestartTenth,
-    /// A group of servers vanishes silently and returns cold
-    Rack,
-    /// A zone's servers and nodes vanish silently and return cold
-    Zone,
-    /// Half of the nodes, drawn by lot, vanish silently and start again with empty state and an old list
-    HalfDown,
-    /// A region's nodes can't reach the other regions' servers, and the other way round
-    RegionCut,
-    /// The counter takes calls in and says nothing
-    CounterSilent,
-    /// The counter turns every call away
-    CounterBusy,
-    /// A share of the servers is replaced in steps by new ones that start cold
-    Release,
-}
-
 /// One step of a failure.
 #[derive(Debug, Clone, Copy)]
 pub enum FailureStep {
--- a/crates/scale-bench/src/fleet/figures.rs
+++ b/crates/scale-bench/src/fleet/figures.rs
@@ -1,6 +1,6 @@
 //! Writes what a fleet run measured as the figures of its report.
 
-use super::failure::Failure;
+use super::failure_name::Failure;
 use super::measurements::{Measurements, INTERVAL};
 use super::world::World;
 use crate::report::Report;
--- a/crates/scale-bench/src/fleet/scenario.rs
+++ b/crates/scale-bench/src/fleet/scenario.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use super::accounts::ACCOUNT_INDEX_BITS;
-use super::failure::Failure;
+use super::failure_name::Failure;
 use crate::error::BenchError;
 
 /// The simulated clock starts here: not near zero, which some fields use for "long ago".
--- a/crates/scale-bench/src/node/limits.rs
+++ b/crates/scale-bench/src/node/limits.rs
@@ -1,6 +1,7 @@
 //! What this process needs of the machine: descriptors, threads and signals.
 
 use std::future::Future;
+use std::time::Duration;
 
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use tokio::runtime::{Builder, Runtime};
@@ -8,6 +9,9 @@
 
 use crate::error::BenchError;
 
+/// How long past the deadline a response is still waited for, so that a late one can be told from one that never comes.
+pub const MAX_LATENESS: Duration = Duration::from_secs(1);
+
 /// Lets this process hold so many descriptors.
 ///
 /// # Errors
--- a/crates/scale-bench/src/node/load.rs
+++ b/crates/scale-bench/src/node/load.rs
@@ -6,7 +6,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -18,9 +17,6 @@
 use crate::error::BenchError;
 use crate::fakes::endpoints::{Endpoints, WorkModel};
 
-/// How long past the deadline a response is still waited for, so that a late one can be told from one that never comes.
-pub const MAX_LATENESS: Duration = Duration::from_secs(1);
-
 /// Sends the scheduled requests, each when it is due, and waits for the end of the last one.
 ///
 /// # Errors
--- a/crates/scale-bench/src/node/load/clients.rs
+++ b/crates/scale-bench/src/node/load/clients.rs
@@ -15,10 +15,10 @@
 
 use super::results::{RequestEnd, RequestResult};
 use super::schedule::ScheduledRequest;
-use super::MAX_LATENESS;
 use crate::fakes::endpoints::{request_id, WorkModel};
 use crate::fakes::hash::mix;
 use crate::node::configuration::{CLASSES, QUOTA_PLAN, UNLIMITED_PLAN};
+use crate::node::limits::MAX_LATENESS;
 use crate::node::options::Options;
 
 /// A response counts as in time up to this long after the deadline.
--- a/crates/scale-bench/src/node/options.rs
+++ b/crates/scale-bench/src/node/options.rs
@@ -7,7 +7,7 @@
 use clap::{Args, Parser};
 use serde::Serialize;
 
-use super::load::MAX_LATENESS;
+use super::limits::MAX_LATENESS;
 use super::option_values::{AgentReturn, Arrivals, InitialList, Span, WorkTimes};
 use crate::error::BenchError;
 use crate::fakes::endpoint_list::MIN_NAME_LENGTH;
--- a/crates/scale-bench/src/slopes.rs
+++ b/crates/scale-bench/src/slopes.rs
@@ -5,13 +5,15 @@
 mod growth;
 mod ladder;
 mod options;
+mod size;
 mod table;
 
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-pub use ladder::{AtSize, Growth, Ladder, Run, Size};
-pub use options::{Against, Options, Subject};
+pub use ladder::{AtSize, Growth, Ladder, Run};
+pub use options::{Options, Subject};
+pub use size::{Against, Size};
 
 use crate::error::BenchError;
 use crate::report::print_result;
--- a/crates/scale-bench/src/slopes/growth.rs
+++ b/crates/scale-bench/src/slopes/growth.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::fit::{self, Point};
-use super::ladder::{AtSize, Growth, Run, Size};
-use super::options::Against;
+use super::ladder::{AtSize, Growth, Run};
+use super::size::{Against, Size};
 
 /// The values of one figure over all runs.
 struct Series<'a> {
--- a/crates/scale-bench/src/slopes/ladder.rs
+++ b/crates/scale-bench/src/slopes/ladder.rs
@@ -3,28 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::fit::{Fitted, NoExponent};
-use super::options::Against;
+use super::size::Size;
 use crate::report::Report;
 
-/// A size of the fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Size {
-    /// Endpoints (app servers).
-    pub servers: u32,
-    /// Edge nodes.
-    pub nodes: u32,
-}
-
-impl Size {
-    /// The number that growth is measured against.
-    pub fn against(self, against: Against) -> u32 {
-        match against {
-            Against::Servers => self.servers,
-            Against::Nodes => self.nodes,
-        }
-    }
-}
-
 /// One run of the ladder.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Run {
--- a/crates/scale-bench/src/slopes/options.rs
+++ b/crates/scale-bench/src/slopes/options.rs
@@ -5,7 +5,7 @@
 use clap::{Args, ValueEnum};
 use serde::{Deserialize, Serialize};
 
-use super::ladder::Size;
+use super::size::{Against, Size};
 use crate::error::BenchError;
 use crate::report::Output;
 
@@ -59,16 +59,6 @@
     Fleet,
 }
 
-/// What growth is told against.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Against {
-    /// App servers
-    Servers,
-    /// Edge nodes
-    Nodes,
-}
-
 impl Options {
     /// Checks the arguments and returns the sizes.
     ///
--- a/crates/scale-bench/src/slopes/table.rs
+++ b/crates/scale-bench/src/slopes/table.rs
@@ -2,7 +2,7 @@
 
 use super::fit::{Fitted, NoExponent};
 use super::ladder::{Growth, Ladder};
-use super::options::Against;
+use super::size::Against;
 
 /// The table: each figure with its growth and its values by size, then the runs that failed.
 pub fn table(ladder: &Ladder, against: Against) -> String {
--- a/crates/scale-bench/src/soak.rs
+++ b/crates/scale-bench/src/soak.rs
@@ -2,8 +2,8 @@
 //! the rules of the service checked on each.
 
 mod client;
-mod crowd;
 mod endpoints;
+mod flood;
 mod message;
 mod options;
 mod phase;
--- a/crates/scale-bench/src/soak/crowd.rs
+++ b/crates/scale-bench/src/soak/flood.rs
@@ -10,10 +10,10 @@
 use tokio::time::{sleep, timeout};
 
 use super::client::request_text;
-use super::plan::{Crowd, CrowdKind};
+use super::plan::{Flood, FloodKind};
 use crate::node::configuration::{CLASSES, UNLIMITED_PLAN};
 
-/// How long a client of the crowd stays.
+/// How long a client of the flood stays.
 pub const STAY: Duration = Duration::from_secs(4);
 /// A client that sends a part of a request and no more is owed an error or a close within this time.
 const BAD_CLIENT_LIMIT: Duration = Duration::from_millis(3_200);
@@ -23,7 +23,7 @@
 const BYTE_PAUSE: Duration = Duration::from_millis(100);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What one client of the crowd does.
+/// What one client of the flood does.
 #[derive(Clone, Copy, PartialEq)]
 enum Member {
     Idle,
@@ -31,18 +31,18 @@
     Slow,
 }
 
-/// Connects the crowd, waits until it has gone, and returns how many clients with half a request were neither
+/// Connects the clients of a flood, waits until it has left, and returns how many clients with half a request were neither
 /// answered nor closed in time.
-pub async fn run(crowd: &Crowd, address: SocketAddr) -> usize {
-    let text: Arc<str> = request_text(&CLASSES[0], "crowd", UNLIMITED_PLAN, 99, 1_000).into();
+pub async fn run(flood: &Flood, address: SocketAddr) -> usize {
+    let text: Arc<str> = request_text(&CLASSES[0], "flood", UNLIMITED_PLAN, 99, 1_000).into();
     let mut members = JoinSet::new();
-    for number in 0..crowd.count {
-        let member = match crowd.kind {
-            CrowdKind::Idle => Member::Idle,
-            CrowdKind::HalfSent => Member::HalfSent,
-            CrowdKind::Slow => Member::Slow,
-            CrowdKind::PartlyHalfSent if number % 3 == 0 => Member::HalfSent,
-            CrowdKind::PartlyHalfSent => Member::Idle,
+    for number in 0..flood.count {
+        let member = match flood.kind {
+            FloodKind::Idle => Member::Idle,
+            FloodKind::HalfSent => Member::HalfSent,
+            FloodKind::Slow => Member::Slow,
+            FloodKind::PartlyHalfSent if number % 3 == 0 => Member::HalfSent,
+            FloodKind::PartlyHalfSent => Member::Idle,
         };
         members.spawn(stay(address, member, text.clone()));
     }
--- a/crates/scale-bench/src/soak/phase.rs
+++ b/crates/scale-bench/src/soak/phase.rs
@@ -8,7 +8,7 @@
 
 #[derive(Default)]
 struct Times {
-    crowd: Option<(Instant, Instant)>,
+    flood: Option<(Instant, Instant)>,
     shutdown_at: Option<Instant>,
     connections_until: Option<Instant>,
     has_ended: bool,
@@ -21,9 +21,9 @@
 }
 
 impl Phase {
-    /// A crowd fills the node's descriptors until then.
-    pub fn crowd_until(&self, until: Instant) {
-        lock(&self.times).crowd = Some((Instant::now(), until));
+    /// A flood fills the node's descriptors until then.
+    pub fn flood_until(&self, until: Instant) {
+        lock(&self.times).flood = Some((Instant::now(), until));
     }
 
     /// The shutdown begins; new connections are made until then.
@@ -53,10 +53,10 @@
         lock(&self.times).connections_until.is_none_or(|until| Instant::now() < until)
     }
 
-    /// Whether the node may close a connection over a request that it has not read: in a crowd, and once it shuts down.
+    /// Whether the node may close a connection over a request that it has not read: in a flood, and once it shuts down.
     pub fn may_close_unread(&self) -> bool {
         let times = lock(&self.times);
         let now = Instant::now();
-        times.shutdown_at.is_some() || times.crowd.is_some_and(|(from, until)| from <= now && now <= until)
+        times.shutdown_at.is_some() || times.flood.is_some_and(|(from, until)| from <= now && now <= until)
     }
 }
--- a/crates/scale-bench/src/soak/plan.rs
+++ b/crates/scale-bench/src/soak/plan.rs
@@ -72,10 +72,10 @@
     pub length_ms: u64,
 }
 
-/// What clients in a crowd send on their connections.
+/// What clients in a flood send on their connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum CrowdKind {
+pub enum FloodKind {
     /// Nothing.
     Idle,
     /// A third of them the first bytes of a request, the others nothing.
@@ -88,9 +88,9 @@
 
 /// Many connections at once.
 #[derive(Debug, Clone, Serialize)]
-pub struct Crowd {
+pub struct Flood {
     /// What is sent on them.
-    pub kind: CrowdKind,
+    pub kind: FloodKind,
     /// How many there are.
     pub count: usize,
     /// When they connect, in milliseconds since the start of the load.
@@ -151,7 +151,7 @@
     /// What is at fault and when.
     pub faults: Vec<Fault>,
     /// A third of the plays have one.
-    pub crowd: Option<Crowd>,
+    pub flood: Option<Flood>,
     /// Configurations that are read anew.
     pub reloads: Vec<Reload>,
     /// How the node ends.
@@ -170,7 +170,7 @@
             clients,
             pause_ms: clients as u64 * 20,
             faults: (0..random.random_range(1..4)).map(|_| draw_fault(&mut random)).collect(),
-            crowd: random.random_bool(1.0 / 3.0).then(|| draw_crowd(&mut random)),
+            flood: random.random_bool(1.0 / 3.0).then(|| draw_flood(&mut random)),
             reloads: (0..random.random_range(0..3)).map(|_| draw_reload(&mut random)).collect(),
             shutdown: draw_shutdown(&mut random),
         }
@@ -202,9 +202,9 @@
     }
 }
 
-fn draw_crowd(random: &mut StdRng) -> Crowd {
-    let kinds = [CrowdKind::Idle, CrowdKind::PartlyHalfSent, CrowdKind::HalfSent, CrowdKind::Slow];
-    Crowd {
+fn draw_flood(random: &mut StdRng) -> Flood {
+    let kinds = [FloodKind::Idle, FloodKind::PartlyHalfSent, FloodKind::HalfSent, FloodKind::Slow];
+    Flood {
         kind: kinds[random.random_range(0..kinds.len())],
         // Half to 1.2 times as many as the node has descriptors for.
         count: random.random_range(120..310),
--- a/crates/scale-bench/src/soak/play.rs
+++ b/crates/scale-bench/src/soak/play.rs
@@ -12,10 +12,10 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use super::client::{Client, ClientSetup};
-use super::crowd;
 use super::endpoints::{EndpointFault, FaultyEndpoints};
+use super::flood;
 use super::phase::Phase;
-use super::plan::{Crowd, Fault, FaultKind, Plan, Reload, Shutdown, ShutdownSignal};
+use super::plan::{Fault, FaultKind, Flood, Plan, Reload, Shutdown, ShutdownSignal};
 use super::rules::{Counts, Ledger, Violation, ANSWER_SLACK};
 use crate::error::BenchError;
 use crate::fakes::counter_service::{CounterCapacity, CounterMode, CounterService};
@@ -39,13 +39,13 @@
 /// Pause between the signals of a shutdown, and of a reload.
 const SHUTDOWN_SIGNAL_PAUSE: Duration = Duration::from_millis(200);
 const RELOAD_SIGNAL_PAUSE: Duration = Duration::from_millis(5);
-/// A crowd's effect on other clients lasts this long after its end.
-const CROWD_AFTERMATH: Duration = Duration::from_secs(1);
+/// A flood's effect on other clients lasts this long after its end.
+const FLOOD_AFTERMATH: Duration = Duration::from_secs(1);
 /// How often it is measured how late this process is.
 const LATENESS_INTERVAL: Duration = Duration::from_millis(10);
 /// A play in which this process was later than this shows nothing of the node.
 const MAX_LATENESS: Duration = Duration::from_millis(50);
-/// Clients that connect for one request beside a crowd have numbers from here on.
+/// Clients that connect for one request beside a flood have numbers from here on.
 const FIRST_NEWCOMER: u64 = 1_000;
 /// Quota of an account of the plan with one: units a second, and at once.
 const QUOTA_UNITS: f64 = 50.0;
@@ -168,9 +168,9 @@
         }
         let (recovery, bad_clients, ()) = {
             let recovered = self.service_comes_back();
-            let crowd = self.crowd();
+            let flood = self.flood();
             let disturbances = async { tokio::join!(self.faults(), self.reloads()) };
-            let (recovery, bad_clients, (_, reloads)) = tokio::join!(recovered, crowd, disturbances);
+            let (recovery, bad_clients, (_, reloads)) = tokio::join!(recovered, flood, disturbances);
             (recovery, bad_clients, reloads?)
         };
         let mut violations: Vec<Violation> = recovery.into_iter().chain(bad_clients).collect();
@@ -198,7 +198,8 @@
     async fn faults(&self) {
         let mut faults = JoinSet::new();
         for fault in &self.plan.faults {
-            let (endpoints, counter) = (self.peers.endpoints.clone(), self.peers.counter.clone());
+            let endpoints = self.peers.endpoints.clone();
+            let counter = self.peers.counter.clone();
             faults.spawn(run_fault(
                 fault.clone(),
                 self.load_start,
@@ -210,20 +211,20 @@
         while faults.join_next().await.is_some() {}
     }
 
-    async fn crowd(&self) -> Option<Violation> {
-        let crowd = self.plan.crowd.as_ref()?;
-        sleep_until(self.load_start + Duration::from_millis(crowd.start_ms)).await;
-        self.setup.phase.crowd_until(Instant::now() + crowd::STAY + CROWD_AFTERMATH);
-        let newcomers = self.newcomers(crowd);
-        let clients = crowd::run(crowd, self.setup.address).await;
+    async fn flood(&self) -> Option<Violation> {
+        let flood = self.plan.flood.as_ref()?;
+        sleep_until(self.load_start + Duration::from_millis(flood.start_ms)).await;
+        self.setup.phase.flood_until(Instant::now() + flood::STAY + FLOOD_AFTERMATH);
+        let newcomers = self.newcomers(flood);
+        let clients = flood::run(flood, self.setup.address).await;
         newcomers.join_all().await;
         (clients > 0).then_some(Violation::BadClientsHeld { clients })
     }
 
-    /// Clients that connect beside the crowd, each for one request.
-    fn newcomers(&self, crowd: &Crowd) -> JoinSet<()> {
+    /// Clients that connect beside the flood, each for one request.
+    fn newcomers(&self, flood: &Flood) -> JoinSet<()> {
         let mut newcomers = JoinSet::new();
-        for number in 0..crowd.newcomers as u64 {
+        for number in 0..flood.newcomers as u64 {
             let client = Client::new(self.setup.clone(), FIRST_NEWCOMER + number);
             newcomers.spawn(async move {
                 sleep(Duration::from_millis(60 + number * 10)).await;
@@ -332,13 +333,19 @@
         FaultKind::CounterReset => counter_fault(&counter, CounterMode::Resetting, end).await,
         FaultKind::CounterBusy => counter_fault(&counter, CounterMode::Busy, end).await,
         FaultKind::DiscoverySilent => {
-            agents.iter().for_each(|agent| agent.set_silent(true));
+            set_silent(&agents, true);
             sleep_until(end).await;
-            agents.iter().for_each(|agent| agent.set_silent(false));
+            set_silent(&agents, false);
         }
     }
 }
 
+fn set_silent(agents: &[Arc<DiscoveryAgent>], silent: bool) {
+    for agent in agents {
+        agent.set_silent(silent);
+    }
+}
+
 async fn counter_fault(counter: &CounterService, mode: CounterMode, end: Instant) {
     counter.set_mode(mode);
     sleep_until(end).await;
--- a/crates/scale-bench/src/soak/rules.rs
+++ b/crates/scale-bench/src/soak/rules.rs
@@ -97,7 +97,7 @@
         /// The body.
         body: Vec<u8>,
     },
-    /// The connection ended without a byte of an answer. It was excused if the node may close in that moment.
+    /// The connection ended without a byte of an answer. It is excused if the node may close it then.
     Closed {
         /// Whether the request may have been left unread.
         may_be_unread: bool,
@@ -150,7 +150,7 @@
     pub served: usize,
     /// With another status.
     pub not_served: usize,
-    /// Whose connection was closed in a moment in which it may be.
+    /// Whose connection was closed when it may be.
     pub excused: usize,
     /// Whose client left.
     pub left: usize,
--- a/crates/scale-bench/tests/soak.rs
+++ b/crates/scale-bench/tests/soak.rs
@@ -33,9 +33,9 @@
     assert_eq!(text(3), text(3));
     assert_ne!(text(3), text(4));
     let plans: Vec<Plan> = (0..300).map(Plan::draw).collect();
-    let crowds = plans.iter().filter(|plan| plan.crowd.is_some()).count();
+    let floods = plans.iter().filter(|plan| plan.flood.is_some()).count();
     let of_one_class = plans.iter().filter(|plan| plan.only_class.is_some()).count();
-    assert!((70..130).contains(&crowds) && (70..130).contains(&of_one_class), "{crowds}, {of_one_class}");
+    assert!((70..130).contains(&floods) && (70..130).contains(&of_one_class), "{floods}, {of_one_class}");
 }
 
 #[test]
--- a/src/decision/balancer/endpoint_table.rs
+++ b/src/decision/balancer/endpoint_table.rs
@@ -10,10 +10,13 @@
 
 use super::deduplication_group::{DeduplicationGroup, GroupsInUse};
 use super::endpoint::Endpoint;
-use super::subset::MAX_EXAMINED;
 use crate::decision::estimators::TokenBucket;
 use crate::decision::{EndpointEntry, EndpointId, EndpointState, Micros, RequestClass};
 
+/// A list of up to so many endpoints is examined in full for an attempt, which takes some microseconds. Of a
+/// longer one it is the subset and, if nobody there is available, so many of the rest. A greater number finds
+/// better endpoints at more time for each attempt.
+pub(super) const MAX_EXAMINED: usize = 256;
 /// Up to so many endpoints with traffic are never dropped from their index.
 const MIN_WITH_TRAFFIC: usize = MAX_EXAMINED;
 /// Responses per second that are lost in rounding when the rates of all endpoints are added up.
--- a/src/decision/balancer/subset.rs
+++ b/src/decision/balancer/subset.rs
@@ -9,7 +9,7 @@
 use std::ops::Range;
 
 use super::endpoint::Endpoint;
-use super::endpoint_table::EndpointTable;
+use super::endpoint_table::{EndpointTable, MAX_EXAMINED};
 use crate::decision::estimators::RandomSource;
 use crate::decision::{Micros, Settings};
 
@@ -17,10 +17,6 @@
 const MIN_NODES_PER_ENDPOINT: usize = 24;
 /// Endpoints that a node uses at least: enough that some are left when a third is lost.
 const MIN_SUBSET_SIZE: usize = 12;
-/// A list of up to so many endpoints is examined in full for an attempt, which takes some microseconds. Of a
-/// longer one it is the subset and, if nobody there is available, so many of the rest. A greater number finds
-/// better endpoints at more time for each attempt.
-pub(super) const MAX_EXAMINED: usize = 256;
 
 /// The part of the ring that this node sends to at one point in time.
 pub(super) struct Subset {
--- a/src/decision/quota/account.rs
+++ b/src/decision/quota/account.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::counter_calls::CounterCall;
+use super::counter_call::CounterCall;
 use super::counter_window::COUNTER_LIFETIME;
 use super::demand::Demand;
 use super::fleet_bucket::FleetBucket;
--- a/src/decision/quota/counter_health.rs
+++ b/src/decision/quota/counter_health.rs
@@ -1,6 +1,6 @@
 //! How well the counter service answers: the pause after failures and the share of requests that ask it.
 
-use super::counter_calls::{CounterCall, CounterReply};
+use super::counter_call::{CounterCall, CounterReply};
 use crate::decision::estimators::RandomSource;
 use crate::decision::{Micros, Settings};
 
--- a/src/decision/quota/fleet_bucket.rs
+++ b/src/decision/quota/fleet_bucket.rs
@@ -6,7 +6,7 @@
 //! to the total as an overflow correction, and what was drawn before the total was lost by a flush or
 //! restart.
 
-use super::counter_calls::CounterCall;
+use super::counter_call::CounterCall;
 use super::counter_window::CounterWindow;
 use super::demand::RATE_SPAN;
 use crate::decision::estimators::{DecayingRate, MICROS_PER_SECOND};
--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -6,11 +6,12 @@
 //!   much to lease, when to release it.
 //! - This file, [`QuotaLedger::draw`]: the rules by which a request gets its units. `known_level` decides
 //!   without the counter, `even_share` and `speculation` where the counter can't be asked.
-//! - `counter_window`, `counter_calls`, `counter_health`: the counters, the calls to them, and the pauses
-//!   after failures.
+//! - `counter_window`, `counter_call`, `counter_calls`, `counter_health`: the counters, one call to them, all
+//!   calls, and the pauses after failures.
 //! - `replies`, `reconciliation`: what a reply changes, and what the counter is corrected by.
 
 mod account;
+mod counter_call;
 mod counter_calls;
 mod counter_health;
 mod counter_window;
@@ -35,7 +36,7 @@
 use speculation::{samples_call, AskProbability, Assessment, Speculation};
 
 pub(super) use account::QueuedRequest;
-pub(super) use counter_calls::CounterReply;
+pub(super) use counter_call::CounterReply;
 pub(super) use request::{QuotaDecision, QuotaRequest, QuotaStage};
 
 /// How an account uses its quota at this node.
--- a/src/decision/quota/reconciliation.rs
+++ b/src/decision/quota/reconciliation.rs
@@ -1,7 +1,7 @@
 //! Reconciliation: what a total of the counter says about a call, and what the counter is corrected by.
 
 use super::account::Account;
-use super::counter_calls::CounterCall;
+use super::counter_call::CounterCall;
 use super::counter_window::CounterWindow;
 use crate::decision::{AccountId, Micros, Plan};
 
--- a/src/decision/quota/replies.rs
+++ b/src/decision/quota/replies.rs
@@ -1,6 +1,7 @@
 //! Replies of the counter service: what they change in an account, and what the service is sent in return.
 
-use super::counter_calls::{revert_call, CounterCall, CounterReply, Increment};
+use super::counter_call::{CounterCall, CounterReply};
+use super::counter_calls::{revert_call, Increment};
 use super::counter_window::CounterWindow;
 use super::reconciliation::{apply_total, resolve_unknown_outcome, Correction};
 use super::{lease, QuotaLedger};
--- a/src/net/descriptor_budget.rs
+++ b/src/net/descriptor_budget.rs
@@ -49,7 +49,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PartialRequestRegistration {
     evictable_at: Instant,
-    /// Tells apart those of one time.
+    /// Distinguishes those of one time.
     order: u64,
 }
 
--- a/src/net/downstream/connection_state.rs
+++ b/src/net/downstream/connection_state.rs
@@ -50,7 +50,7 @@
     request_in_progress: Cell<bool>,
     /// Whether the body of the request in progress has not arrived in full.
     body_awaited: Cell<bool>,
-    /// When the first byte of the request came that has arrived in part.
+    /// When the first byte arrived of the request that has arrived in part.
     partial_request_since: Cell<Option<Instant>>,
     /// Since when a request head has been arriving, or has been expected on a new connection.
     head_started_at: Cell<Option<Instant>>,
@@ -230,7 +230,7 @@
         }
     }
 
-    /// Registers that a part of a request came just now, unless the connection is too new to give way.
+    /// Registers that a part of a request arrived just now, unless the connection is too new to give way.
     fn register_partial_request(&self) {
         let now = Instant::now();
         let since = self.partial_request_since.get().unwrap_or(now);
--- a/tests/client_disconnect.rs
+++ b/tests/client_disconnect.rs
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn a_request_that_waits_for_a_connection_is_not_sent_once_its_client_has_disconnected() {
+fn request_that_waits_for_a_connection_is_not_sent_once_its_client_has_disconnected() {
     // A connection that is established late: the kernel drops the handshakes beyond a full backlog.
     let full_endpoint = FullEndpoint::new();
     let configuration = NodeConfiguration::new(&[active("s-1", full_endpoint.address)]);
@@ -125,7 +125,7 @@
 }
 
 #[test]
-fn a_request_that_waits_for_a_descriptor_is_not_sent_once_its_client_has_disconnected() {
+fn request_that_waits_for_a_descriptor_is_not_sent_once_its_client_has_disconnected() {
     let old_endpoint = FakeEndpoint::start();
     let new_endpoint = FakeEndpoint::start();
     let discovery = FakeDiscovery::start();
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn a_request_that_was_in_the_backlog_when_its_client_disconnected_is_not_sent() {
+fn request_that_was_in_the_backlog_when_its_client_disconnected_is_not_sent() {
     // Bytes behind the request hide the end of the connection from a task that waits to read it.
     for behind in ["", "POST /post"] {
         let endpoint = FakeEndpoint::start();
@@ -208,7 +208,7 @@
 }
 
 #[test]
-fn a_queued_or_incomplete_request_is_not_sent_once_its_client_has_disconnected() {
+fn queued_or_incomplete_request_is_not_sent_once_its_client_has_disconnected() {
     let endpoint = FakeEndpoint::start();
     let discovery = FakeDiscovery::start();
     let edge = NodeConfiguration::new(&[]).discovery(discovery.address).start();
@@ -264,7 +264,7 @@
 }
 
 #[test]
-fn an_endpoint_that_starts_draining_while_a_connection_to_it_comes_up_gets_no_request() {
+fn endpoint_that_starts_draining_while_a_connection_to_it_comes_up_gets_no_request() {
     let full_endpoint = FullEndpoint::new();
     let second_endpoint = FakeEndpoint::start();
     let discovery = FakeDiscovery::start();
--- a/tests/closing_connections.rs
+++ b/tests/closing_connections.rs
@@ -76,7 +76,7 @@
 }
 
 #[test]
-fn request_unread_as_its_idle_connection_closes_is_served_and_told_of_the_close() {
+fn request_unread_as_its_idle_connection_closes_is_served_with_a_close() {
     run(async {
         let server = Server::start().await;
         let mut client = server.idle_client().await;
--- a/tests/connection_close_races.rs
+++ b/tests/connection_close_races.rs
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn a_partial_request_behind_another_is_served_when_idle_connections_close() {
+fn partial_request_behind_another_is_served_when_idle_connections_close() {
     // A part of a request that arrived together with the request before it is no longer unread in the socket.
     let endpoint = FakeEndpoint::start();
     let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)]).start();
@@ -82,7 +82,7 @@
 }
 
 #[test]
-fn a_partial_status_line_on_an_idle_connection_is_not_part_of_the_next_response() {
+fn partial_status_line_on_an_idle_connection_is_not_part_of_the_next_response() {
     let endpoint = FakeEndpoint::start();
     let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)]).start();
     let mut client = edge.connect();
@@ -107,7 +107,7 @@
 }
 
 #[test]
-fn a_response_without_a_length_ends_with_the_close_of_its_connection_but_not_with_a_reset() {
+fn response_without_a_length_ends_with_the_close_of_its_connection_but_not_with_a_reset() {
     let text = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nsome of it";
     let endpoints = [FakeEndpoint::start(), FakeEndpoint::start()];
     let entries = [active("s-1", endpoints[0].address), active("s-2", endpoints[1].address)];
@@ -139,7 +139,7 @@
 }
 
 #[test]
-fn a_keyed_request_that_may_have_run_is_not_repeated_where_connecting_may_outlast_the_deduplication_window() {
+fn keyed_request_that_may_have_run_is_not_repeated_where_connecting_may_outlast_the_deduplication_window() {
     let endpoint = FakeEndpoint::start();
     // The window still holds when the connection breaks, but not at the latest time at which a new one is established.
     let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)])
@@ -154,7 +154,7 @@
 }
 
 #[test]
-fn a_keyed_request_is_not_repeated_past_its_window_where_the_settings_name_no_time_for_connecting() {
+fn keyed_request_is_not_repeated_past_its_window_where_the_settings_name_no_time_for_connecting() {
     let endpoint = FakeEndpoint::start();
     // Shorter than the time that connecting may take by default, and long enough for the connection to break in it.
     let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)])
@@ -169,7 +169,7 @@
 }
 
 #[test]
-fn a_second_attempt_carries_the_time_that_is_left_to_the_client() {
+fn second_attempt_carries_the_time_that_is_left_to_the_client() {
     let endpoints = [FakeEndpoint::start(), FakeEndpoint::start()];
     let entries = [active("s-1", endpoints[0].address), active("s-2", endpoints[1].address)];
     let edge = NodeConfiguration::new(&entries).start();
@@ -228,7 +228,7 @@
 }
 
 #[test]
-fn a_request_read_behind_the_last_response_of_a_connection_is_not_forwarded() {
+fn request_read_behind_the_last_response_of_a_connection_is_not_forwarded() {
     // One that is read ahead with the first, and more than is read ahead.
     for copies in [1, 300] {
         let endpoint = FakeEndpoint::start();
--- a/tests/counter_waits.rs
+++ b/tests/counter_waits.rs
@@ -14,7 +14,7 @@
 /// A request has its decision after this long: three time-outs, and the tick that notices.
 const LONGEST_WAIT: Micros = 3 * COUNTER_TIMEOUT + TICK;
 
-/// Ends calls in this way, as many as the node makes at one moment, up to a bound. Returns all actions.
+/// Ends calls in this way, as many as the node makes without a pause, up to a bound. Returns all actions.
 fn end_all_calls(node: &mut NodeUnderTest, first: Option<CounterCall>, outcome: Outcome) -> Vec<Action> {
     let mut all_actions = Vec::new();
     let mut next = first;
--- a/tests/descriptor_budget.rs
+++ b/tests/descriptor_budget.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 #[test]
-fn a_used_idle_connection_is_closed_unless_half_of_all_are_not_classified_yet() {
+fn used_idle_connection_is_closed_unless_half_of_all_are_not_classified_yet() {
     let budget = DescriptorBudget::new(RESERVED_DESCRIPTORS + 20);
     budget.register_idle(Rc::default(), true);
     for _ in 0..5 {
@@ -34,7 +34,7 @@
 }
 
 #[test]
-fn a_partial_request_gives_way_once_it_is_due_and_before_connections_in_use() {
+fn partial_request_gives_way_once_it_is_due_and_before_connections_in_use() {
     let budget = DescriptorBudget::new(RESERVED_DESCRIPTORS + 20);
     let now = Instant::now();
     let due = Rc::new(Notify::new());
--- a/tests/endpoint_ids.rs
+++ b/tests/endpoint_ids.rs
@@ -15,7 +15,7 @@
 }
 
 #[test]
-fn a_name_gives_the_same_id_everywhere() {
+fn name_gives_the_same_id_everywhere() {
     // Published values of FNV-1a and of one-at-a-time. If ids changed from build to build, nodes would differ.
     assert_eq!(halves("").high, 0x811c_9dc5);
     assert_eq!(halves("a"), Halves { high: 0xe40c_292c, low: 0xca2e_9442 });
--- a/tests/endpoint_lists/delta.rs
+++ b/tests/endpoint_lists/delta.rs
@@ -112,7 +112,7 @@
 }
 
 #[test]
-fn a_delta_of_any_size_holds_what_has_changed_for_the_decisions_and_nothing_else() {
+fn delta_of_any_size_holds_what_has_changed_for_the_decisions_and_nothing_else() {
     for size in SIZES {
         let mut entries = all_up(0..size);
         let first = with_snapshot(&Endpoints::default(), &entries).endpoints;
--- a/tests/endpoint_lists/process.rs
+++ b/tests/endpoint_lists/process.rs
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn a_snapshot_closes_only_connections_to_an_address_that_another_endpoint_takes() {
+fn snapshot_closes_only_connections_to_an_address_that_another_endpoint_takes() {
     let endpoint = FakeEndpoint::start();
     let known = [active("s-1", endpoint.address)];
     let Node { edge, agent, .. } = start(&known);
--- a/tests/endpoint_lists/publication.rs
+++ b/tests/endpoint_lists/publication.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn a_list_prepared_while_discovery_moves_is_dropped() {
+fn list_prepared_while_discovery_moves_is_dropped() {
     let agent = FakeEndpoint::start();
     let new_agent = FakeEndpoint::start();
     let list_of_old_agent = ok_response(&longest_list(9, &agent));
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn a_long_delta_does_not_undo_what_was_applied_while_it_was_prepared() {
+fn long_delta_does_not_undo_what_was_applied_while_it_was_prepared() {
     let agent = FakeEndpoint::start();
     let delta = json!({"index": 2, "snapshot": false, "endpoints": all_up(0..LONGEST)});
     let long_delta = ok_response(&delta.to_string());
@@ -194,7 +194,7 @@
 }
 
 #[test]
-fn a_short_list_received_between_two_parts_is_applied_after_the_last_unless_it_is_older() {
+fn short_list_received_between_two_parts_is_applied_after_the_last_unless_it_is_older() {
     for version in [8, 10] {
         fetch_between_two_parts(version, |_| {
             ok_response(&snapshot(version, &[numbered(LONG, "up")]).to_string())
@@ -203,7 +203,7 @@
 }
 
 #[test]
-fn a_long_list_received_between_two_parts_is_applied_after_the_last_unless_it_is_older() {
+fn long_list_received_between_two_parts_is_applied_after_the_last_unless_it_is_older() {
     for version in [8, 10] {
         fetch_between_two_parts(version, |endpoint| long_list(version, LONG, endpoint, &[]));
     }
--- a/tests/endpoint_lists/snapshot.rs
+++ b/tests/endpoint_lists/snapshot.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn a_snapshot_of_any_size_changes_what_differs_and_nothing_else() {
+fn snapshot_of_any_size_changes_what_differs_and_nothing_else() {
     for size in SIZES {
         let mut entries = all_up(0..size);
         let first = with_snapshot(&Endpoints::default(), &entries);
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn a_connection_that_waits_for_a_descriptor_when_the_listener_closes_is_answered() {
+fn connection_that_waits_for_a_descriptor_when_the_listener_closes_is_answered() {
     let endpoint = FakeEndpoint::start();
     let counter = FakeCounter::start();
     // Descriptors for nine clients.
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn a_request_read_in_part_when_idle_connections_close_is_served() {
+fn request_read_in_part_when_idle_connections_close_is_served() {
     let endpoint = FakeEndpoint::start();
     let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)]).start();
     let mut reused = edge.connect();
@@ -97,7 +97,7 @@
 }
 
 #[test]
-fn a_response_is_not_reset_by_unread_bytes_behind_its_request() {
+fn response_is_not_reset_by_unread_bytes_behind_its_request() {
     let endpoint = FakeEndpoint::start();
     let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)]).start();
     let mut client = edge.connect();
@@ -114,7 +114,7 @@
 }
 
 #[test]
-fn a_response_that_its_client_reads_late_is_not_lost_by_unread_bytes_behind_its_request() {
+fn response_that_its_client_reads_late_is_not_lost_by_unread_bytes_behind_its_request() {
     let endpoint = FakeEndpoint::start();
     let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)]).start();
     let mut client = Client::connect_with_receive_buffer(edge.address, 4_096);
@@ -133,7 +133,7 @@
 }
 
 #[test]
-fn a_second_sigterm_and_a_new_configuration_do_not_disturb_a_shutdown() {
+fn second_sigterm_and_a_new_configuration_do_not_disturb_a_shutdown() {
     let endpoint = FakeEndpoint::start();
     let configuration = NodeConfiguration::new(&[active("s-1", endpoint.address)]);
     let edge = configuration.start();
@@ -152,7 +152,7 @@
 }
 
 #[test]
-fn a_shutdown_releases_a_lease_that_the_counter_grants_during_it() {
+fn shutdown_releases_a_lease_that_the_counter_grants_during_it() {
     let endpoint = FakeEndpoint::start();
     let counter = FakeCounter::start();
     // The call stays in flight for as long as the test delays its reply.
@@ -187,7 +187,7 @@
 }
 
 #[test]
-fn a_request_that_the_shutdown_failed_is_not_sent_when_descriptors_come_free() {
+fn request_that_the_shutdown_failed_is_not_sent_when_descriptors_come_free() {
     let endpoint = FakeEndpoint::start();
     // Descriptors for sixteen connections, nine of them for clients: seven attempts get one, two wait.
     let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)])
--- a/tests/list_notification_deadline.rs
+++ b/tests/list_notification_deadline.rs
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn a_silent_watch_is_replaced_before_what_it_missed_counts_as_notified() {
+fn silent_watch_is_replaced_before_what_it_missed_counts_as_notified() {
     let peers = [FakeEndpoint::start(), FakeEndpoint::start()];
     let _nodes = [node(&[], &peers[0], Discovery::Agent), node(&[], &peers[1], Discovery::SharedBy(4))];
     // Silent from its start: that leaves the least time.
--- a/tests/list_watch.rs
+++ b/tests/list_watch.rs
@@ -53,7 +53,7 @@
 }
 
 #[test]
-fn a_silent_agent_does_not_delay_requests_for_long() {
+fn silent_agent_does_not_delay_requests_for_long() {
     let endpoint = FakeEndpoint::start();
     let agent = FakeEndpoint::start();
     let edge = configuration_with_agent(&[active("s-1", endpoint.address)], &agent).start();
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn a_fetch_that_ends_after_discovery_moved_away_and_back_is_dropped() {
+fn fetch_that_ends_after_discovery_moved_away_and_back_is_dropped() {
     let old = FakeEndpoint::start();
     let new = FakeEndpoint::start();
     let agent = FakeEndpoint::start();
@@ -83,7 +83,7 @@
 }
 
 #[test]
-fn a_malformed_list_is_not_applied_and_a_malformed_entry_is_left_out() {
+fn malformed_list_is_not_applied_and_a_malformed_entry_is_left_out() {
     let first = FakeEndpoint::start();
     let second = FakeEndpoint::start();
     let agent = FakeEndpoint::start();
--- a/tests/partial_requests.rs
+++ b/tests/partial_requests.rs
@@ -22,7 +22,7 @@
 }
 
 #[test]
-fn a_request_is_given_up_only_if_no_more_of_it_lies_unread() {
+fn request_is_given_up_only_if_no_more_of_it_lies_unread() {
     let half_of_head = connection_with(&HEAD[..HEAD.len() / 2]);
     assert!(!half_of_head.may_give_up_partial_request(|| true));
     assert!(half_of_head.may_give_up_partial_request(|| false));
@@ -35,7 +35,7 @@
 }
 
 #[test]
-fn a_request_that_has_arrived_in_full_is_not_given_up() {
+fn request_that_has_arrived_in_full_is_not_given_up() {
     let state = connection_with(HEAD);
     state.request_started(&request_with_body());
     state.bytes_received(b"slip!");
--- a/tests/quota_scaling.rs
+++ b/tests/quota_scaling.rs
@@ -97,9 +97,29 @@
     assert_eq!(admitted, 2);
 }
 
-/// The overflow correction among the actions, if there is one: a call that adds units.
-fn overflow_correction(actions: &[Action]) -> Option<CounterCall> {
-    counter_call(actions).filter(|call| call.amount > 0.0)
+/// A request that drew its units from the counter.
+struct Draw {
+    call: CounterCall,
+    attempt: StartedAttempt,
+    /// The overflow correction that followed, if there was one: a call that adds units.
+    overflow_correction: Option<CounterCall>,
+}
+
+/// A draw after four seconds without a request. `total_after` gives the counter's total after its call.
+fn draw_after_idle_time(
+    node: &mut NodeUnderTest,
+    units: f64,
+    total_after: impl FnOnce(CounterCall) -> f64,
+) -> Draw {
+    node.advance(4 * SECOND);
+    let sent = node.request(SAFE, units);
+    let call = counter_call(&sent.actions).expect("a call");
+    let actions = node.end_counter_call(call, Outcome::Ok, total_after(call));
+    Draw {
+        call,
+        attempt: started_attempts(&actions)[0].clone(),
+        overflow_correction: counter_call(&actions).filter(|call| call.amount > 0.0),
+    }
 }
 
 #[test]
@@ -107,22 +127,17 @@
     let mut node = NodeUnderTest::new(settings_with_quota(), 4);
     let mut counter = FakeCounter::default();
     for _ in 0..8 {
-        node.advance(4 * SECOND);
         // A draw above the overflow of four seconds: afterwards the bucket is not full.
-        let sent = node.request(SAFE, 6.0);
-        let draw = counter_call(&sent.actions).expect("a call");
-        let total = counter.add(draw.key, draw.amount);
-        let actions = node.end_counter_call(draw, Outcome::Ok, total);
-        let attempt = started_attempts(&actions)[0].clone();
-        if let Some(correction) = overflow_correction(&actions) {
+        let draw = draw_after_idle_time(&mut node, 6.0, |call| counter.add(call.key, call.amount));
+        if let Some(correction) = draw.overflow_correction {
             let total = counter.add(correction.key, correction.amount);
             let actions = node.end_counter_call(correction, Outcome::Ok, total);
-            assert_eq!(counter_call(&actions), None, "{correction:?} is made once after {draw:?}");
-            if correction.amount < draw.amount {
+            assert_eq!(counter_call(&actions), None, "{correction:?} is made once after {:?}", draw.call);
+            if correction.amount < draw.call.amount {
                 return;
             }
         }
-        node.complete(&attempt);
+        node.complete(&draw.attempt);
         node.tick();
     }
     panic!("an overflow smaller than the draw was never corrected");
@@ -132,20 +147,16 @@
 fn overflow_corrected_by_two_nodes_is_put_back_once() {
     let mut node = NodeUnderTest::new(settings_with_quota(), 4);
     for _ in 0..8 {
-        node.advance(4 * SECOND);
-        let sent = node.request(SAFE, 1.0);
-        let draw = counter_call(&sent.actions).expect("a call");
-        let actions = node.end_counter_call(draw, Outcome::Ok, draw.amount);
-        let attempt = started_attempts(&actions)[0].clone();
-        if let Some(correction) = overflow_correction(&actions) {
-            let total = draw.amount + 2.0 * correction.amount;
+        let draw = draw_after_idle_time(&mut node, 1.0, |call| call.amount);
+        if let Some(correction) = draw.overflow_correction {
+            let total = draw.call.amount + 2.0 * correction.amount;
             let actions = node.end_counter_call(correction, Outcome::Ok, total);
             let put_back = counter_call(&actions).expect("the second correction is put back");
             let difference = (put_back.amount + correction.amount).abs();
             assert!(difference < 1e-6, "{correction:?} made twice, {put_back:?} put back");
             return;
         }
-        node.complete(&attempt);
+        node.complete(&draw.attempt);
         node.tick();
     }
     panic!("an idle account's overflow was never corrected");
@@ -155,13 +166,9 @@
 fn overflow_correction_that_failed_is_not_made_up_for_later() {
     let mut node = NodeUnderTest::new(settings_with_quota(), 4);
     for _ in 0..8 {
-        node.advance(4 * SECOND);
-        let sent = node.request(SAFE, 1.0);
-        let draw = counter_call(&sent.actions).expect("a call");
-        let actions = node.end_counter_call(draw, Outcome::Ok, draw.amount);
-        let attempt = started_attempts(&actions)[0].clone();
-        node.complete(&attempt);
-        let Some(correction) = overflow_correction(&actions) else { continue };
+        let draw = draw_after_idle_time(&mut node, 1.0, |call| call.amount);
+        node.complete(&draw.attempt);
+        let Some(correction) = draw.overflow_correction else { continue };
         node.end_counter_call(correction, Outcome::ConnectFailed, 0.0);
         // Another node has corrected it meanwhile.
         node.advance(2 * SECOND);
--- a/tests/restart_readiness.rs
+++ b/tests/restart_readiness.rs
@@ -37,7 +37,7 @@
 }
 
 #[test]
-fn a_killed_node_restarts_on_its_port_and_is_ready_while_discovery_is_silent() {
+fn killed_node_restarts_on_its_port_and_is_ready_while_discovery_is_silent() {
     for is_shared in [false, true] {
         let endpoint = FakeEndpoint::start();
         let silent_agent = FakeEndpoint::start();
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn a_node_configured_with_46000_endpoints_is_ready_before_discovery_responds() {
+fn node_configured_with_46000_endpoints_is_ready_before_discovery_responds() {
     let endpoint = FakeEndpoint::start();
     let silent_agent = FakeEndpoint::start();
     let edge = NodeConfiguration::new(&long_list(&endpoint)).discovery(silent_agent.address).start();
@@ -76,7 +76,7 @@
 }
 
 #[test]
-fn a_node_without_endpoints_is_ready_while_a_list_of_46000_arrives_and_uses_it_then() {
+fn node_without_endpoints_is_ready_while_a_list_of_46000_arrives_and_uses_it_then() {
     let endpoint = FakeEndpoint::start();
     let agent = FakeEndpoint::start();
     // The list has to arrive completely; how long that takes does not matter here.
--- a/tests/simulator_protocol.rs
+++ b/tests/simulator_protocol.rs
@@ -24,7 +24,7 @@
 }
 
 #[test]
-fn a_request_is_forwarded_and_unknown_names_are_ignored() {
+fn request_is_forwarded_and_unknown_names_are_ignored() {
     let Run { result, output } = run_on(&[START, REQUEST, EMPTY_BATCH]);
     result.expect("no error");
     assert_eq!(output.lines().count(), 3, "one reply a batch");
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn an_error_names_the_malformed_line_the_missing_field_or_the_unknown_node() {
+fn error_names_the_malformed_line_the_missing_field_or_the_unknown_node() {
     let not_json = run_on(&[START, "not json"]).result.expect_err("an error").to_string();
     assert!(not_json.starts_with("line 2 is malformed") && !not_json.contains('\n'), "{not_json}");
     let without_id = run_on(&[START, REQUEST_WITHOUT_ID]).result.expect_err("an error").to_string();
--- a/tests/watch_schedule.rs
+++ b/tests/watch_schedule.rs
@@ -28,20 +28,20 @@
 }
 
 #[test]
-fn a_hundred_nodes_whose_calls_all_fail_do_not_overload_discovery() {
+fn hundred_nodes_whose_calls_all_fail_do_not_overload_discovery() {
     let calls = calls_by_second(100);
     assert!(calls.iter().all(|&count| count <= 40), "calls by second: {calls:?}");
     assert!(calls.iter().sum::<usize>() <= 20 * 60, "calls by second: {calls:?}");
 }
 
 #[test]
-fn a_few_nodes_call_again_soon() {
+fn few_nodes_call_again_soon() {
     let pause = WatchSchedule::new(1, 3, true).pause_after_failure(Duration::ZERO);
     assert!(pause < Duration::from_millis(250));
 }
 
 #[test]
-fn a_list_is_asked_for_before_it_counts_as_notified_in_any_fleet() {
+fn list_is_asked_for_before_it_counts_as_notified_in_any_fleet() {
     for seed in 0..300 {
         let mut schedule = WatchSchedule::new(seed, 300, true);
         assert!(schedule.first_call_delay() + FETCH_TIMEOUT <= NOTIFIED_AFTER);
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn a_failed_call_is_made_again_before_what_it_missed_counts_as_notified_in_any_fleet() {
+fn failed_call_is_made_again_before_what_it_missed_counts_as_notified_in_any_fleet() {
     // Refused, timed out as at an overloaded service, and ended as silent.
     let call_times = [0, 2_000, 5_000].map(Duration::from_millis);
     for nodes in [1, 4, 30, 100, 300, 5_700] {
@@ -76,7 +76,7 @@
 }
 
 #[test]
-fn an_arriving_list_is_waited_for_and_a_silent_agent_is_not() {
+fn arriving_list_is_waited_for_and_a_silent_agent_is_not() {
     let began_at = Instant::now();
     for wait in [FIRST_CALL_TIMEOUT, FETCH_TIMEOUT] {
         let timeout = WatchTimeout::new(began_at, wait);
@@ -92,7 +92,7 @@
 }
 
 #[test]
-fn a_watch_whose_response_trickles_leaves_time_for_the_next_call() {
+fn watch_whose_response_trickles_leaves_time_for_the_next_call() {
     let began_at = Instant::now();
     let timeout = WatchTimeout::new(began_at, WATCH_TIMEOUT);
     let latest = timeout.deadline_after_bytes(began_at + NOTIFIED_AFTER);
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn an_agent_on_the_own_machine_is_called_without_delay_in_any_fleet() {
+fn agent_on_the_own_machine_is_called_without_delay_in_any_fleet() {
     for seed in 0..300 {
         let mut schedule = WatchSchedule::new(seed, 300, false);
         assert_eq!(schedule.first_call_delay(), Duration::ZERO);
