--- a/src/decision/balancer/recovery.rs
+++ b/src/decision/balancer/recovery.rs
@@ -14,8 +14,8 @@
 //! 5. Where no endpoint is available (the panic threshold), a recovering endpoint takes any request, still
 //!    one at a time, and goes before those that are ejected or unresponsive.
 //!
-//! A test is an attempt like any other: a non-idempotent request is sent again only if the test certainly never
-//! ran (`attempts::retry_policy`).
+//! A test is an attempt like any other: a non-idempotent request is sent again only if the test certainly
+//! never ran (`attempts::retry_policy`).
 
 use super::endpoint::Endpoint;
 use crate::decision::{Idempotency, Micros};
