Fail answers whose stated length is too small instead of serving them shortened

What callers saw: status 200 with a body whose end was missing, and with a length that fitted the shortened body, for each request whose endpoint stated a Content-Length smaller than the body behind it, of all classes.

Cause: hyper ends a body where its Content-Length says, and `exchange` (net/upstream/exchange.rs) took that for the end of the response. The bytes behind it were found in the same step, but only ended the connection; its driver dropped them.

Change: the driver keeps what it had read (`HttpConnection::bytes_after_response`). Bytes behind a stated length fail the attempt as malformed (net/upstream/truncation.rs), unless they are exactly one more response with the same body, which shows that the response is complete. A chunked body marks its own end and is served as before.

Why this works: what arrived together with the last stated byte is known when the body ends, as the driver looks for further bytes before the body's reader runs again.

A check replaced: `bytes_before_or_after_a_valid_response_affect_neither_it_nor_the_next` had a row in which "noise" behind a stated length is served. On the wire that is the same as a length that is too small by five bytes, so the row contradicts the rule on lost requests. `response_followed_by_noise_fails_and_the_next_is_served` holds the opposite for five forms of it, and that the next request is served; the rows of duplicates and informational responses stay, and chunked ones are new.

`head_end` moves to net/http_head.rs, since two places use it now.

--- a/src/net/downstream/pipeline.rs
+++ b/src/net/downstream/pipeline.rs
@@ -5,6 +5,8 @@
 
 use bytes::{Buf, BytesMut};
 
+use crate::net::http_head::head_end;
+
 /// The largest number of bytes kept that belong to no request yet. Bytes beyond it are not kept: with that
 /// many, a further request has begun in any case.
 const MAX_READ_AHEAD_BYTES: usize = 128 * 1024;
@@ -82,17 +84,6 @@
     }
 }
 
-/// Returns the index of the first byte after a head and its empty line. Returns `None` if the head is
-/// incomplete. Line ends may lack the carriage return.
-fn head_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_ends = bytes.iter().enumerate().filter(|(_, &byte)| byte == b'\n').map(|(at, _)| at);
-    line_ends.find_map(|at| match &bytes[at + 1..] {
-        [b'\n', ..] => Some(at + 2),
-        [b'\r', b'\n', ..] => Some(at + 3),
-        _ => None,
-    })
-}
-
 /// Returns whether a line of this head is a `Content-Length` header. The colon has to follow the name
 /// directly, since hyper rejects a space before it.
 fn has_content_length(head: &[u8]) -> bool {
--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -1,9 +1,9 @@
 //! HTTP/1.1 client connections. A connection carries one request at a time, never retries, and is closed when
 //! dropped.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::error::Error;
-use std::future::pending;
+use std::future::{pending, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -130,6 +130,8 @@
     /// The task that reads from and writes to the socket.
     driver: AbortHandle,
     response_start: Rc<ResponseStart>,
+    /// What the driver had read and not assigned to a response when it ended; empty while it runs.
+    unassigned_bytes: Rc<OnceCell<Bytes>>,
 }
 
 impl Drop for HttpConnection {
@@ -153,12 +155,9 @@
             .handshake(TokioIo::new(observed))
             .await
             .map_err(io::Error::other)?;
-        let driver = spawn_local(async move {
-            let _permit = permit;
-            // The error is ignored here, since the request in flight returns it as well.
-            let _ = connection.await;
-        });
-        Ok(HttpConnection { sender, driver: driver.abort_handle(), response_start })
+        let unassigned_bytes = Rc::<OnceCell<Bytes>>::default();
+        let driver = spawn_local(drive(connection, permit, unassigned_bytes.clone()));
+        Ok(HttpConnection { sender, driver: driver.abort_handle(), response_start, unassigned_bytes })
     }
 
     /// Returns whether the connection is open, as far as this side knows.
@@ -166,6 +165,16 @@
         !self.sender.is_closed()
     }
 
+    /// Returns the bytes that arrived together with the end of a response and lie behind it. Must be called
+    /// when the complete body of the response has been read. The connection has ended if there are any.
+    ///
+    /// Bytes that arrive later are not among them: nothing says yet whether there will be any. What has
+    /// arrived is complete here, since the driver looks for further bytes in the same step in which it passes
+    /// on the end of a body.
+    pub fn bytes_after_response(&self) -> &[u8] {
+        self.unassigned_bytes.get().map_or(&[], |bytes| bytes)
+    }
+
     /// Resets the tracking of the response start and returns it for the next request.
     pub fn reset_response_start(&self) -> Rc<ResponseStart> {
         self.response_start.began_at.set(None);
@@ -189,6 +198,19 @@
     }
 }
 
+/// Reads from and writes to the socket until the connection ends, then closes it and sets
+/// `unassigned_bytes`. `permit` is dropped together with the socket.
+async fn drive<P>(
+    mut connection: Connection<TokioIo<ResponseStartStream>, Full<Bytes>>,
+    permit: P,
+    unassigned_bytes: Rc<OnceCell<Bytes>>,
+) {
+    // The error is ignored here, since the request in flight returns it as well.
+    let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    let _ = unassigned_bytes.set(connection.into_parts().read_buf);
+    drop(permit);
+}
+
 /// Returns whether the head of a response defines unambiguously where the response ends.
 ///
 /// If the head has both a `Content-Length` and a `Transfer-Encoding`, neither can be trusted. If it has
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 pub mod event_loop;
 pub mod event_sink;
 pub mod http_client;
+mod http_head;
 mod open_requests;
 pub mod shutdown_schedule;
 pub mod upstream;
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -2,11 +2,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::CONTENT_LENGTH;
 use hyper::{Request, StatusCode};
 
 use crate::decision::Outcome;
 use crate::net::http_client::{has_unambiguous_length, read_body, BodyError, HttpConnection, SendError};
 use crate::net::upstream::request::MAX_BODY_BYTES;
+use crate::net::upstream::truncation::may_be_truncated;
 use crate::protocol::headers::NOT_RUN;
 
 /// The result of a request whose response head was read.
@@ -28,7 +30,8 @@
 /// Writes a request and reads its complete response.
 ///
 /// # Errors
-/// If no response head arrives, or the response is malformed or its body is too long.
+/// If no response head arrives, or the response is malformed, its body is too long or its stated length may
+/// be too small.
 pub(super) async fn exchange(
     connection: &mut HttpConnection,
     message: Request<Full<Bytes>>,
@@ -39,6 +42,7 @@
     }
     let status = response.status();
     let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT;
+    let has_stated_length = response.headers().contains_key(CONTENT_LENGTH);
     let did_not_run = response.headers().get(NOT_RUN).is_some_and(|value| value == "1");
     let body = read_body(response.into_body(), MAX_BODY_BYTES).await;
     if is_rejection && did_not_run {
@@ -48,6 +52,9 @@
     match body {
         Err(BodyError::ConnectionBroken) => Ok(Exchange::without_body(Outcome::Reset, false)),
         Err(BodyError::TooLong | BodyError::Malformed) => Err(SendError::UnusableResponse),
+        Ok(body) if has_stated_length && may_be_truncated(&body, connection.bytes_after_response()) => {
+            Err(SendError::UnusableResponse)
+        }
         Ok(body) if status == StatusCode::OK => {
             Ok(Exchange { outcome: Outcome::Ok, body: Some(body), is_reusable: true })
         }
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -8,6 +8,7 @@
 mod probe;
 mod request;
 pub mod reuse;
+mod truncation;
 mod upstreams;
 
 pub use crate::net::upstream::attempt::AttemptOutcome;
--- a/tests/fakes/endpoint.rs
+++ b/tests/fakes/endpoint.rs
@@ -61,6 +61,11 @@
         self.close();
     }
 
+    /// Sends these bytes as a part of a response; the test sends the rest.
+    pub fn send_part(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("failed to write to the connection");
+    }
+
     /// Sends these bytes, as far as the node reads them, and leaves the connection open.
     pub fn send_raw(mut self, bytes: &[u8]) {
         // The node may close the connection before it has received all bytes.
--- a/tests/list_watch.rs
+++ b/tests/list_watch.rs
@@ -134,6 +134,26 @@
     first.assert_no_request();
 }
 
+/// Guards against applying the beginning of a list as the whole: the stated length is too small, and the rest
+/// of the list lies behind it.
+#[test]
+fn list_with_a_stated_length_that_is_too_small_is_dropped() {
+    let known = FakeEndpoint::start();
+    let agent = FakeEndpoint::start();
+    let edge = configuration_with_agent(&[active("s-1", known.address)], &agent).start();
+    let FirstCalls { fetch: _fetch, mut watch } = first_calls(&agent);
+    // The complete list would remove the known endpoint.
+    let text = list(2, true, &[active("s-2", unreachable_address())]);
+    for missing_bytes in [1, 2, 12, text.len()] {
+        let stated_length = text.len() - missing_bytes;
+        let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {stated_length}\r\n\r\n{text}");
+        watch.send_raw(response.as_bytes());
+        watch = next_watch(&agent);
+        assert_eq!(watched_version(&watch.message), Some(1), "{missing_bytes} bytes missing");
+    }
+    assert_served_by(&known, &mut edge.connect(), &request("post", "p-1"));
+}
+
 #[test]
 fn next_watch_starts_from_the_version_of_a_response_without_changes() {
     // If the node watched from the version before, the agent would have a newer version to send at once, each
--- a/tests/node_upstream_connections.rs
+++ b/tests/node_upstream_connections.rs
@@ -76,14 +76,36 @@
 fn bytes_before_or_after_a_valid_response_affect_neither_it_nor_the_next() {
     let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
     let valid = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n";
     let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
-    for (number, (before, after)) in [("", valid), ("", "noise"), (interim, "")].into_iter().enumerate() {
+    let responses = [
+        format!("{valid}{valid}"),
+        format!("{interim}{valid}"),
+        format!("{interim}{valid}{valid}"),
+        format!("{chunked}{chunked}"),
+        format!("{chunked}noise"),
+    ];
+    for (number, response) in responses.iter().enumerate() {
         client.send(&request("post", &format!("p-{number}")));
-        endpoint.next_request().send_raw(format!("{before}{valid}{after}").as_bytes());
-        assert_eq!(client.response().body, b"first");
-        client.send(&request("post", &format!("q-{number}")));
-        endpoint.next_request().respond_ok("second");
-        assert_eq!(client.response().body, b"second");
+        endpoint.next_request().send_raw(response.as_bytes());
+        client.assert_ok("first");
+        assert_served_by(&endpoint, &mut client, &request("post", &format!("q-{number}")));
+    }
+}
+
+/// Bytes behind a stated length that are no duplicate cannot be distinguished from the rest of a body whose
+/// length is too small, so the response is not served.
+#[test]
+fn response_followed_by_noise_fails_and_the_next_is_served() {
+    let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
+    let valid = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    let other = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+    let after = ["noise", "\r\n", other, &valid[..valid.len() - 1], &format!("{valid}noise")];
+    for (number, bytes_after) in after.into_iter().enumerate() {
+        client.send(&request("post", &format!("p-{number}")));
+        endpoint.next_request().send_raw(format!("{valid}{bytes_after}").as_bytes());
+        assert_failed(&client.response());
+        assert_served_by(&endpoint, &mut client, &request("post", &format!("q-{number}")));
     }
 }
 
