Refuse requests whose stated length is too small instead of sending them on shortened

What callers saw: a client that stated a Content-Length smaller than the body behind it got the answer to a request that it had not sent, as an endpoint ran the beginning of its body.

Cause: hyper ends a body where its Content-Length says, and `RequestHandler::serve` (net/downstream/handler.rs) took that for the end of the request. What had been read behind it served only to tell whether the connection is idle.

Change: bytes read behind a stated length that cannot begin a further request (none of the methods, after empty lines) are part of the body: 400, nothing is sent on, the connection closes (`Pipeline::body_may_be_truncated`).

--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -85,7 +85,7 @@
         let framing = self.state.request_started(&request);
         let mut response = tokio::select! {
             biased;
-            response = self.handler.handle(request, framing, || self.state.request_received()) => response,
+            response = self.handler.handle(request, framing, &self.state) => response,
             () = socket::peer_closed(&self.stream) => {
                 self.state.abort();
                 // The abort drops the HTTP connection and this future with it, so the future never completes.
--- a/src/net/downstream/connection_state.rs
+++ b/src/net/downstream/connection_state.rs
@@ -133,6 +133,12 @@
         self.unregister();
     }
 
+    /// Returns whether the body of the request in progress may lack its end; see
+    /// [`Pipeline::body_may_be_truncated`]. The request has been recorded as received.
+    pub fn body_may_be_truncated(&self) -> bool {
+        self.pipeline.borrow().body_may_be_truncated()
+    }
+
     /// Records that the response to the request in progress is ready.
     pub fn request_completed(&self) {
         self.request_received();
--- a/src/net/downstream/handler.rs
+++ b/src/net/downstream/handler.rs
@@ -12,6 +12,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::decision::{NewRequest, RequestId};
+use crate::net::downstream::connection_state::ConnectionState;
 use crate::net::downstream::framing::BodyFraming;
 use crate::net::downstream::request::{RequestError, RequestRules};
 use crate::net::downstream::response::{close_connection, ClientResponse};
@@ -39,16 +40,16 @@
         RequestHandler { event_loop, rules }
     }
 
-    /// Answers one request, and calls `received` once the request has arrived in full.
+    /// Answers one request, and records in `connection` when the request has arrived in full.
     ///
     /// Dropping the future before it completes reports to the event loop that the client has disconnected.
     pub async fn handle(
         &self,
         request: Request<Incoming>,
         framing: BodyFraming,
-        received: impl FnOnce(),
+        connection: &ConnectionState,
     ) -> Response<Full<Bytes>> {
-        let client_response = match self.serve(request, framing, received).await {
+        let client_response = match self.serve(request, framing, connection).await {
             Ok(client_response) => client_response,
             Err(error) => ClientResponse::Invalid(error),
         };
@@ -68,7 +69,7 @@
         &self,
         request: Request<Incoming>,
         framing: BodyFraming,
-        received: impl FnOnce(),
+        connection: &ConnectionState,
     ) -> Result<ClientResponse, RequestError> {
         let received_at = self.event_loop.clock.now();
         let (head, body) = request.into_parts();
@@ -81,7 +82,10 @@
         let new_request = self.rules.validate(&head, received_at)?;
         let response_due = self.event_loop.final_response_by(new_request.deadline);
         let body = read_body(&head.method, body, response_due).await?;
-        received();
+        connection.request_received();
+        if head.method != Method::GET && connection.body_may_be_truncated() {
+            return Err(RequestError::BytesAfterBody);
+        }
         let forward = forwarded_request(head, body)?;
         self.final_response(new_request, forward, response_due).await
     }
--- a/src/net/downstream/pipeline.rs
+++ b/src/net/downstream/pipeline.rs
@@ -4,6 +4,7 @@
 //! that was started. Closing the connection in this state would lose the request that begins with them.
 
 use bytes::{Buf, BytesMut};
+use hyper::Method;
 
 use crate::net::http_head::head_end;
 
@@ -11,6 +12,19 @@
 /// many, a further request has begun in any case.
 const MAX_READ_AHEAD_BYTES: usize = 128 * 1024;
 
+/// The methods that a request line may begin with. Requests with other methods are invalid.
+const METHODS: [Method; 9] = [
+    Method::GET,
+    Method::POST,
+    Method::PUT,
+    Method::DELETE,
+    Method::HEAD,
+    Method::OPTIONS,
+    Method::CONNECT,
+    Method::PATCH,
+    Method::TRACE,
+];
+
 /// Whether the head of a request has a `Content-Length`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LengthHeader {
@@ -67,7 +81,25 @@
     /// Returns whether at least one byte of a further request was read ahead; the request may be complete.
     /// Empty lines before it don't count.
     pub fn has_read_ahead(&self) -> bool {
-        self.read_ahead.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
+        !self.without_empty_lines().is_empty()
+    }
+
+    /// Returns whether the body of the current request, which was read up to its stated length, may lack its
+    /// end: bytes were read behind it that cannot be a further request or its beginning.
+    pub fn body_may_be_truncated(&self) -> bool {
+        let has_stated_length = self.body_remaining.is_some();
+        let bytes_behind = self.without_empty_lines();
+        has_stated_length && !METHODS.iter().any(|method| may_begin_with(bytes_behind, method))
+    }
+
+    /// Returns the bytes that were read ahead, without the empty lines before a further request.
+    fn without_empty_lines(&self) -> &[u8] {
+        &self.read_ahead[self.empty_line_bytes()..]
+    }
+
+    /// Returns the length of the empty lines that were read ahead before a further request, in bytes.
+    fn empty_line_bytes(&self) -> usize {
+        self.read_ahead.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count()
     }
 
     /// Discards the bytes of a body of this length that were read ahead, and returns how many of its bytes
@@ -79,11 +111,16 @@
     }
 
     fn skip_empty_lines(&mut self) {
-        let line_ends = self.read_ahead.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
-        self.read_ahead.advance(line_ends);
+        self.read_ahead.advance(self.empty_line_bytes());
     }
 }
 
+/// Returns whether `bytes`, of which only a part may have arrived, begin with this method and a space.
+fn may_begin_with(bytes: &[u8], method: &Method) -> bool {
+    let method_and_space = method.as_str().bytes().chain([b' ']);
+    bytes.iter().copied().zip(method_and_space).all(|(byte, expected)| byte == expected)
+}
+
 /// Returns whether a line of this head is a `Content-Length` header. The colon has to follow the name
 /// directly, since hyper rejects a space before it.
 fn has_content_length(head: &[u8]) -> bool {
--- a/src/net/downstream/request.rs
+++ b/src/net/downstream/request.rs
@@ -82,6 +82,9 @@
     /// The body ends early or is malformed, so it can't be read in full.
     #[error("the body is not whole")]
     BodyIncomplete,
+    /// Bytes that cannot begin another request follow the body, so its stated length may be too small.
+    #[error("more bytes than the body's length")]
+    BytesAfterBody,
     /// The body did not arrive in time.
     #[error("the body came too late")]
     BodyTimeout,
@@ -114,6 +117,7 @@
             | RequestError::NoWeight
             | RequestError::BodyOfGet
             | RequestError::BodyIncomplete
+            | RequestError::BytesAfterBody
             | RequestError::NoPath => StatusCode::BAD_REQUEST,
         }
     }
--- a/tests/node_request_validation.rs
+++ b/tests/node_request_validation.rs
@@ -98,6 +98,48 @@
     endpoint.assert_no_request();
 }
 
+/// Guards against sending on the beginning of a body as the whole: the stated length was too small, and an
+/// endpoint ran a request that no client had sent.
+#[test]
+fn request_with_a_stated_length_that_is_too_small_is_refused_and_nothing_after_it_is_read() {
+    let OneEndpoint { endpoint, edge, client: _client } = one_endpoint();
+    let hidden_request = request("post", "hidden").text();
+    for class in ["slip", "post"] {
+        for stated_length in 0..5 {
+            let text = request(class, "p-1").text();
+            let stated = format!("Content-Length: {stated_length}");
+            let mut client = edge.connect();
+            client.send_raw(&format!("{}{hidden_request}", text.replace("Content-Length: 5", &stated)));
+            assert_eq!(client.response().status(), 400, "{class}, {stated}");
+            assert_eq!(client.read_to_end(), "", "{class}, {stated}");
+        }
+    }
+    endpoint.assert_no_request();
+}
+
+/// Further requests and empty lines behind a body do not belong to it.
+#[test]
+fn request_that_is_followed_by_another_or_by_its_beginning_is_served() {
+    let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
+    for (number, class) in ["lookup", "slip", "post"].into_iter().enumerate() {
+        for (column, sent_length) in [1, 4, 40].into_iter().enumerate() {
+            let first = request("post", &format!("first-{number}-{column}"));
+            let next = request(class, &format!("next-{number}-{column}"));
+            let next_text = format!("\r\n{}", next.text());
+            client.send_raw(&format!("{}{}", first.text(), &next_text[..sent_length]));
+            let received = endpoint.next_request();
+            assert_eq!(received.request_id(), first.id);
+            received.respond_ok("first");
+            client.assert_ok("first");
+            client.send_raw(&next_text[sent_length..]);
+            let received = endpoint.next_request();
+            assert_eq!(received.request_id(), next.id);
+            received.respond_ok("next");
+            client.assert_ok("next");
+        }
+    }
+}
+
 #[test]
 fn absolute_form_is_forwarded_in_origin_form() {
     let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
