--- /dev/null
+++ b/src/net/http_client/mod.rs
@@ -0,0 +1,128 @@
+//! HTTP/1.1 client connections. A connection carries one request at a time, never retries, and is closed when
+//! dropped.
+
+mod body;
+mod response_start;
+
+use std::cell::OnceCell;
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, AbortHandle};
+
+pub use crate::net::http_client::body::{has_unambiguous_length, read_body, BodyError};
+pub use crate::net::http_client::response_start::ResponseStart;
+use crate::net::http_client::response_start::ResponseStartStream;
+
+/// The size of a connection's read buffer, in bytes. It limits the length of a response head.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Why a request got no response.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// The connection closed before any byte of the request was written. Holds the request.
+    #[error("the connection closed before the request was written")]
+    NotWritten(Box<Request<Full<Bytes>>>),
+    /// The connection broke after some of the request may have been written.
+    #[error("the connection broke before the response head arrived")]
+    ConnectionBroken,
+    /// The response is malformed, too long or too slow. The connection must not be used again.
+    #[error("malformed, too long or too slow response")]
+    UnusableResponse,
+}
+
+/// An open connection. Dropping it closes the socket, even if a request is in flight.
+pub struct HttpConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// The task that reads from and writes to the socket.
+    driver: AbortHandle,
+    response_start: Rc<ResponseStart>,
+    /// What the driver had read and not assigned to a response when it ended; empty while it runs.
+    unassigned_bytes: Rc<OnceCell<Bytes>>,
+}
+
+impl Drop for HttpConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl HttpConnection {
+    /// Opens a connection to `address`. `permit` is dropped together with the socket.
+    ///
+    /// # Errors
+    /// If the connection cannot be established.
+    pub async fn open<P: 'static>(address: SocketAddr, permit: P) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let response_start = Rc::<ResponseStart>::default();
+        let observed = ResponseStartStream::new(stream, response_start.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(observed))
+            .await
+            .map_err(io::Error::other)?;
+        let unassigned_bytes = Rc::<OnceCell<Bytes>>::default();
+        let driver = spawn_local(drive(connection, permit, unassigned_bytes.clone()));
+        Ok(HttpConnection { sender, driver: driver.abort_handle(), response_start, unassigned_bytes })
+    }
+
+    /// Returns whether the connection is open, as far as this side knows.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Returns the bytes that arrived together with the end of a response and lie behind it. Must be called
+    /// when the complete body of the response has been read. The connection has ended if there are any.
+    ///
+    /// Bytes that arrive later are not among them: nothing says yet whether there will be any. What has
+    /// arrived is complete here, since the driver looks for further bytes in the same step in which it passes
+    /// on the end of a body.
+    pub fn bytes_after_response(&self) -> &[u8] {
+        self.unassigned_bytes.get().map_or(&[], |bytes| bytes)
+    }
+
+    /// Resets the tracking of the response start and returns it for the next request.
+    pub fn reset_response_start(&self) -> Rc<ResponseStart> {
+        self.response_start.reset();
+        self.response_start.clone()
+    }
+
+    /// Sends one request and waits for the head of its response.
+    ///
+    /// # Errors
+    /// If the connection ends before the head has arrived, or the head is malformed.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
+        if self.sender.ready().await.is_err() {
+            return Err(SendError::NotWritten(Box::new(request)));
+        }
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| match error.take_message() {
+            Some(request) => SendError::NotWritten(Box::new(request)),
+            None if error.error().is_parse() => SendError::UnusableResponse,
+            None => SendError::ConnectionBroken,
+        })
+    }
+}
+
+/// Reads from and writes to the socket until the connection ends, then closes it and sets
+/// `unassigned_bytes`. `permit` is dropped together with the socket.
+async fn drive<P>(
+    mut connection: Connection<TokioIo<ResponseStartStream>, Full<Bytes>>,
+    permit: P,
+    unassigned_bytes: Rc<OnceCell<Bytes>>,
+) {
+    // The error is ignored here, since the request in flight returns it as well.
+    let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    let _ = unassigned_bytes.set(connection.into_parts().read_buf);
+    drop(permit);
+}
