--- a/src/net/downstream/pipeline.rs
+++ b/src/net/downstream/pipeline.rs
@@ -12,7 +12,7 @@
 /// many, a further request has begun in any case.
 const MAX_READ_AHEAD_BYTES: usize = 128 * 1024;
 
-/// The methods that a request line may begin with. Requests with other methods are invalid.
+/// The methods that a request line may begin with: those of RFC 9110 and PATCH of RFC 5789.
 const METHODS: [Method; 9] = [
     Method::GET,
     Method::POST,
