--- a/tests/node_request_validation.rs
+++ b/tests/node_request_validation.rs
@@ -114,9 +114,25 @@
             assert_eq!(client.read_to_end(), "", "{class}, {stated}");
         }
     }
+    // The rest of the body begins like a method, but no space follows.
+    let mut client = edge.connect();
+    client.send_raw(&request("post", "p-1").text().replace("slip!", "slip!POSTED"));
+    assert_eq!(client.response().status(), 400);
+    assert_eq!(client.read_to_end(), "");
     endpoint.assert_no_request();
 }
 
+/// A request without a body cannot lack the end of one.
+#[test]
+fn get_that_is_followed_by_noise_is_served_and_the_noise_is_refused() {
+    let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
+    client.send_raw(&format!("{}noise\r\n\r\n", request("lookup", "l-1").text()));
+    endpoint.next_request().respond_ok("served");
+    client.assert_ok("served");
+    assert_eq!(client.response().status(), 400);
+    assert_eq!(client.read_to_end(), "");
+}
+
 /// Further requests and empty lines behind a body do not belong to it.
 #[test]
 fn request_that_is_followed_by_another_or_by_its_beginning_is_served() {
--- a/tests/node_upstream_connections.rs
+++ b/tests/node_upstream_connections.rs
@@ -100,8 +100,16 @@
     let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
     let valid = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
     let other = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
-    let after = ["noise", "\r\n", other, &valid[..valid.len() - 1], &format!("{valid}noise")];
-    for (number, bytes_after) in after.into_iter().enumerate() {
+    let after = [
+        "noise".to_string(),
+        "\r\n".to_string(),
+        other.to_string(),
+        valid[..valid.len() - 1].to_string(),
+        format!("{valid}noise"),
+        "noise\r\n\r\nfirst".to_string(),
+        format!("{other}first"),
+    ];
+    for (number, bytes_after) in after.iter().enumerate() {
         client.send(&request("post", &format!("p-{number}")));
         endpoint.next_request().send_raw(format!("{valid}{bytes_after}").as_bytes());
         assert_failed(&client.response());
