Look for the rest of a closing connection's answer where its end is that of a read

Cause: hyper reads on behind a body only where the connection is kept. With a close it ends, and the rest lies unread in the socket, so the driver had no bytes to keep.

Change: where hyper has left none, the driver reads what has arrived before it ends (`ResponseStartStream::read_available`), without waiting.

Evidence: `response_whose_stated_end_is_the_end_of_a_read_is_not_served_shortened` failed before ("HTTP/1.1 200 OK"). The same question is tested for requests; it held before.

--- a/src/net/http_client/mod.rs
+++ b/src/net/http_client/mod.rs
@@ -84,9 +84,8 @@
     /// Returns the bytes that arrived together with the end of a response and lie behind it. Must be called
     /// when the complete body of the response has been read. The connection has ended if there are any.
     ///
-    /// Bytes that arrive later are not among them: nothing says yet whether there will be any. What has
-    /// arrived is complete here, since the driver looks for further bytes in the same step in which it passes
-    /// on the end of a body.
+    /// The driver looks for further bytes in the same step in which it passes on the end of a body. Bytes that
+    /// arrive later are not returned: nothing says yet whether there will be any.
     pub fn bytes_after_response(&self) -> &[u8] {
         self.unassigned_bytes.get().map_or(&[], |bytes| bytes)
     }
@@ -123,6 +122,10 @@
 ) {
     // The error is ignored here, since the request in flight returns it as well.
     let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
-    let _ = unassigned_bytes.set(connection.into_parts().read_buf);
+    let parts = connection.into_parts();
+    // hyper reads no further once the last response of a connection has ended.
+    let bytes = if parts.read_buf.is_empty() { parts.io.inner().read_available() } else { parts.read_buf };
+    let _ = unassigned_bytes.set(bytes);
+    drop(parts.io);
     drop(permit);
 }
--- a/src/net/http_client/response_start.rs
+++ b/src/net/http_client/response_start.rs
@@ -8,11 +8,14 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
 
+use crate::net::http_client::MAX_BUFFER_BYTES;
+
 /// Tracks when the response to the current request began to arrive.
 #[derive(Default)]
 pub struct ResponseStart {
@@ -61,6 +64,14 @@
     pub(super) fn new(stream: TcpStream, response_start: Rc<ResponseStart>) -> Self {
         ResponseStartStream { stream, response_start }
     }
+
+    /// Reads what has arrived, at most [`MAX_BUFFER_BYTES`], without waiting. Returns nothing if nothing has
+    /// arrived, or the connection has ended.
+    pub(super) fn read_available(&self) -> Bytes {
+        let mut buffer = vec![0; MAX_BUFFER_BYTES];
+        let count = self.stream.try_read(&mut buffer).unwrap_or(0);
+        Bytes::copy_from_slice(&buffer[..count])
+    }
 }
 
 impl AsyncRead for ResponseStartStream {
--- a/tests/node_request_validation.rs
+++ b/tests/node_request_validation.rs
@@ -122,6 +122,24 @@
     endpoint.assert_no_request();
 }
 
+/// Guards against sending on the beginning of a body as the whole where its stated end is also the end of what
+/// the node reads at once: the rest lies unread in the socket.
+#[test]
+fn request_whose_stated_end_is_the_end_of_a_read_is_not_sent_on_shortened() {
+    /// How many bytes the node reads first on a connection.
+    const READ_BYTES: usize = 8 * 1024;
+    let OneEndpoint { endpoint, edge, client: _client } = one_endpoint();
+    let head = request("post", "p-1").text().replace("Content-Length: 5\r\n\r\nslip!", "");
+    for stated_end in READ_BYTES - 2..=READ_BYTES + 2 {
+        let head_bytes = head.len() + "Content-Length: 1000\r\n\r\n".len();
+        let body = "x".repeat(stated_end - head_bytes);
+        let mut client = edge.connect();
+        client.send_raw(&format!("{head}Content-Length: {}\r\n\r\n{body}rest", body.len()));
+        assert_eq!(client.response().status(), 400, "stated end {stated_end}");
+    }
+    endpoint.assert_no_request();
+}
+
 /// A request without a body cannot lack the end of one.
 #[test]
 fn get_that_is_followed_by_noise_is_served_and_the_noise_is_refused() {
--- a/tests/node_truncated_responses.rs
+++ b/tests/node_truncated_responses.rs
@@ -38,7 +38,8 @@
     }
 }
 
-/// Guards against the same where the stated length is too large and a duplicate fills the gap.
+/// Guards against serving a response with the start of its duplicate, which fills up a stated length that is too
+/// large.
 #[test]
 fn response_with_a_stated_length_that_reaches_into_a_duplicate_is_not_served() {
     let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
@@ -48,7 +49,7 @@
     assert_failed(&client.response());
 }
 
-/// Guards against the same for requests that may be repeated: they are served by a further attempt.
+/// Guards against failing a request that may be repeated because one response has a length that is too small.
 #[test]
 fn request_that_may_be_repeated_is_retried_after_a_response_with_a_length_that_is_too_small() {
     let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
@@ -64,7 +65,7 @@
     }
 }
 
-/// Guards against the same where the head and the body arrive in separate segments.
+/// Guards against serving a shortened body that arrives in a segment of its own, behind that of its head.
 #[test]
 fn body_that_arrives_behind_its_head_with_surplus_bytes_is_not_served_shortened() {
     let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
@@ -76,3 +77,23 @@
     received.send_raw(body.as_bytes());
     assert_failed(&client.response());
 }
+
+/// Guards against serving the beginning of a response as the whole where its stated end is also the end of what
+/// the node reads at once: the rest lay unread in the socket, and a response with `Connection: close` was served.
+#[test]
+fn response_whose_stated_end_is_the_end_of_a_read_is_not_served_shortened() {
+    /// How many bytes the node reads first on a connection.
+    const READ_BYTES: usize = 8 * 1024;
+    let OneEndpoint { endpoint, edge: _edge, mut client } = one_endpoint();
+    for headers in ["", "Connection: close\r\n"] {
+        let head_bytes =
+            response_with_rest("HTTP/1.1", headers, &"x".repeat(READ_BYTES), "").len() - READ_BYTES;
+        for stated_end in READ_BYTES - 2..=READ_BYTES + 2 {
+            let body = "x".repeat(stated_end - head_bytes);
+            client.send(&request("post", &format!("p-{}-{stated_end}", headers.len())));
+            let response = response_with_rest("HTTP/1.1", headers, &body, REST);
+            endpoint.next_request().send_raw(response.as_bytes());
+            assert_failed(&client.response());
+        }
+    }
+}
