Measure the memory of long messages that arrive in small pieces (scale-bench bodies)

No tool of the project could tell what a node takes beside what it legitimately holds.

`scale-bench bodies` starts a real node for each combination of kind (request, response, plain and chunked, heads), limit on memory, number of clients and size of piece, and prints the growth of the resident memory over the length of the messages.

--- a/crates/scale-bench/src/lib.rs
+++ b/crates/scale-bench/src/lib.rs
@@ -9,6 +9,8 @@
 //!   endpoint lists.
 //! - [`slopes`]: runs one of these three at several fleet sizes and computes how each figure grows with the
 //!   size.
+//! - [`bodies`]: measures the memory that one real edge node process takes for long messages that arrive in
+//!   small pieces.
 //! - [`soak`]: runs short plays, each of one real edge node process under faults drawn from a seed, and
 //!   checks that every request gets a correct response in time, that no non-idempotent request is repeated
 //!   once it may have run, and that the node recovers and neither panics nor exits with an error.
@@ -18,6 +20,7 @@
 //! service and the endpoints (app servers).
 #![forbid(unsafe_code)]
 
+pub mod bodies;
 pub mod decisions;
 pub mod error;
 pub mod fakes;
--- a/crates/scale-bench/src/main.rs
+++ b/crates/scale-bench/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use scale_bench::error::{report_result, report_usage};
-use scale_bench::{decisions, fleet, node, slopes, soak};
+use scale_bench::{bodies, decisions, fleet, node, slopes, soak};
 
 const PROGRAM: &str = "scale-bench";
 
@@ -30,6 +30,9 @@
     Decisions(decisions::Options),
     /// Run another subcommand at several fleet sizes and compute how each figure grows with the size
     Slopes(slopes::Options),
+    /// Measure the memory that one real edge node process takes for long messages that arrive in small pieces,
+    /// beside the memory that their bytes take
+    Bodies(bodies::Options),
     /// Run short plays, each of one real edge node process under faults drawn from a seed, and check that
     /// every request gets a correct response in time, that no non-idempotent request is repeated once it may
     /// have run, and that the node recovers and neither panics nor exits with an error
@@ -46,6 +49,7 @@
         Command::Fleet(options) => fleet::run(options),
         Command::Decisions(options) => decisions::run(options),
         Command::Slopes(options) => slopes::run(options),
+        Command::Bodies(options) => bodies::run(options),
         Command::Soak(options) => soak::run(options),
     };
     report_result(PROGRAM, result)
--- a/crates/scale-bench/src/soak.rs
+++ b/crates/scale-bench/src/soak.rs
@@ -6,7 +6,7 @@
 mod client;
 mod endpoints;
 mod flood;
-mod message;
+pub(crate) mod message;
 mod options;
 mod plan;
 mod play;
@@ -20,6 +20,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+pub(crate) use client::request_text;
 pub use options::Options;
 pub use plan::{Behaviour, Plan};
 pub use play::{PlayResult, Verdict};
