Copy bodies as they arrive, so that a piece does not keep the buffer it was read into

Cause: `read_body` kept the frames of a body until it was whole. Each is a slice of a read buffer of 8 KiB or more and keeps all of it. Requests and responses, plain and chunked, took this path.

Change: each frame is copied into the body's one buffer as it comes, and dropped (`net/http_body.rs`, which both sides use; what is left in `http_client` is `framing.rs`).

--- a/src/net/downstream/handler.rs
+++ b/src/net/downstream/handler.rs
@@ -17,8 +17,8 @@
 use crate::net::downstream::request::{RequestError, RequestRules};
 use crate::net::downstream::response::{close_connection, ClientResponse};
 use crate::net::event_loop::EventLoop;
-use crate::net::http_client::{self, BodyError};
-use crate::net::upstream::{ForwardedRequest, MAX_BODY_BYTES};
+use crate::net::http_body::{self, BodyError};
+use crate::net::upstream::ForwardedRequest;
 use crate::protocol::headers;
 
 /// The path of the readiness check.
@@ -138,7 +138,7 @@
         return Err(RequestError::BodyOfGet);
     }
     let body_due = response_due.min(Instant::now() + BODY_TIMEOUT);
-    match timeout_at(body_due, http_client::read_body(body, MAX_BODY_BYTES)).await {
+    match timeout_at(body_due, http_body::read_body(body)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLong)) => Err(RequestError::BodyTooLong),
         Ok(Err(BodyError::ConnectionBroken | BodyError::Malformed)) => Err(RequestError::BodyIncomplete),
--- a/src/net/http_client/mod.rs
+++ b/src/net/http_client/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 client connections. A connection carries one request at a time, never retries, and is closed when
 //! dropped.
 
-mod body;
+mod framing;
 mod response_start;
 
 use std::cell::OnceCell;
@@ -19,7 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, AbortHandle};
 
-pub use crate::net::http_client::body::{has_unambiguous_length, read_body, BodyError};
+pub use crate::net::http_client::framing::has_unambiguous_length;
 pub use crate::net::http_client::response_start::ResponseStart;
 use crate::net::http_client::response_start::ResponseStartStream;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod downstream;
 pub mod event_loop;
 pub mod event_sink;
+pub mod http_body;
 pub mod http_client;
 mod http_head;
 mod open_requests;
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -6,8 +6,8 @@
 use hyper::{Request, StatusCode};
 
 use crate::decision::Outcome;
-use crate::net::http_client::{has_unambiguous_length, read_body, BodyError, HttpConnection, SendError};
-use crate::net::upstream::request::MAX_BODY_BYTES;
+use crate::net::http_body::{read_body, BodyError};
+use crate::net::http_client::{has_unambiguous_length, HttpConnection, SendError};
 use crate::net::upstream::truncation::may_be_truncated;
 use crate::protocol::headers::NOT_RUN;
 
@@ -44,7 +44,7 @@
     let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT;
     let has_stated_length = response.headers().contains_key(CONTENT_LENGTH);
     let did_not_run = response.headers().get(NOT_RUN).is_some_and(|value| value == "1");
-    let body = read_body(response.into_body(), MAX_BODY_BYTES).await;
+    let body = read_body(response.into_body()).await;
     if is_rejection && did_not_run {
         // The head is enough to know that the request did not run, even if the body could not be read.
         return Ok(Exchange::without_body(Outcome::Rejected, body.is_ok()));
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -12,5 +12,5 @@
 mod upstreams;
 
 pub use crate::net::upstream::attempt::AttemptOutcome;
-pub use crate::net::upstream::request::{ForwardedRequest, MAX_BODY_BYTES};
+pub use crate::net::upstream::request::ForwardedRequest;
 pub use crate::net::upstream::upstreams::Upstreams;
--- a/src/net/upstream/request.rs
+++ b/src/net/upstream/request.rs
@@ -7,9 +7,6 @@
 
 use crate::protocol::headers::{DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID};
 
-/// The maximum length of the body of a request or a response, in bytes.
-pub const MAX_BODY_BYTES: usize = 64 * 1024;
-
 /// The parts of a client's request that are forwarded to an endpoint.
 pub struct ForwardedRequest {
     /// The HTTP method.
--- a/tests/fakes/client.rs
+++ b/tests/fakes/client.rs
@@ -59,6 +59,8 @@
     pub fn connect(address: SocketAddr) -> Client {
         let stream = TcpStream::connect(address).expect("failed to connect to the node");
         stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("failed to set the read timeout");
+        // Without this option the kernel holds back a second small write until the first one is acknowledged.
+        stream.set_nodelay(true).expect("failed to set TCP_NODELAY");
         Client { reader: BufReader::new(stream.try_clone().expect("failed to clone the connection")), stream }
     }
 
--- a/tests/fakes/edge_process.rs
+++ b/tests/fakes/edge_process.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 
 use super::client::Client;
+use super::kernel::peak_resident_bytes;
 use super::TEST_TIMEOUT;
 
 /// Prefix of the log line that contains the address on which the node listens.
@@ -181,6 +182,11 @@
         }
     }
 
+    /// Returns the largest resident size of the process since its start, in bytes.
+    pub fn peak_resident_bytes(&self) -> usize {
+        peak_resident_bytes(self.child.id())
+    }
+
     /// Sends the process a signal. `name` is the name of the signal without `SIG`.
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
--- a/tests/fakes/endpoint.rs
+++ b/tests/fakes/endpoint.rs
@@ -66,6 +66,12 @@
         self.stream.write_all(bytes).expect("failed to write to the connection");
     }
 
+    /// Sends these bytes as a part of a response, unless the connection has ended. Returns whether they were
+    /// sent.
+    pub fn try_send_part(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
     /// Sends these bytes, as far as the node reads them, and leaves the connection open.
     pub fn send_raw(mut self, bytes: &[u8]) {
         // The node may close the connection before it has received all bytes.
