Bound the memory of all bodies by a quarter of the limit, and reject what is beyond

Cause: nothing read limits.memory_mb. Each body was bounded, their sum only by the descriptors: with a limit of 32 MB, 340 bodies of 60,000 bytes that arrive together took a node to 40 MB.

Change: `BodyMemory` (net/http_body/memory.rs) holds a permit for each byte, a quarter of the limit in all. A request reserves its stated length (64 KiB if it has none) before its body is read, and leaves a quarter of this memory to responses; beyond that it gets 503 with its body unread. A response reserves its length, and waits in its socket meanwhile. The reservation goes with the bytes and ends with their last copy. A limit that is not positive ends the start with one line; without one it is 192 MB.

--- a/src/app.rs
+++ b/src/app.rs
@@ -24,6 +24,7 @@
 use crate::net::downstream::{DownstreamServer, RequestRules};
 use crate::net::event_loop::EventLoop;
 use crate::net::event_sink::EventSink;
+use crate::net::http_body::BodyMemory;
 use crate::net::shutdown_schedule::ShutdownSchedule;
 use crate::net::upstream::Upstreams;
 use crate::protocol::settings::SettingsDocument;
@@ -71,7 +72,8 @@
 async fn run_node(config: Config, config_path: String) -> Result<(), StartError> {
     let mut signals = Signals::install()?;
     let budget = descriptor_budget(config.max_descriptors)?;
-    let node = Node::build(config.settings, config.seed, &config.services, budget);
+    let body_memory = Rc::new(BodyMemory::new(config.max_memory_bytes));
+    let node = Node::build(config.settings, config.seed, &config.services, budget, body_memory);
     let listener = listen(config.listen_address)
         .map_err(|source| StartError::Listen { address: config.listen_address, source })?;
     let bound_address = listener.local_addr().map_err(StartError::System)?;
@@ -143,6 +145,7 @@
         seed: u64,
         services: &ServiceAddresses,
         budget: Rc<DescriptorBudget>,
+        body_memory: Rc<BodyMemory>,
     ) -> Node {
         let zones = mem::take(&mut document.zones);
         let machine_kinds = mem::take(&mut document.machine_kinds);
@@ -153,8 +156,9 @@
         let shutdown_schedule = ShutdownSchedule::new(longest_total_timeout(&settings));
         let polls_endpoint_list = settings.polls_endpoint_list;
 
+        let connect_timeout = settings.limits.connect_timeout;
         let upstreams =
-            Upstreams::new(budget.clone(), settings.limits.connect_timeout, connection_idle_timeout);
+            Upstreams::new(budget.clone(), body_memory.clone(), connect_timeout, connection_idle_timeout);
         let counter_address = services.counter.filter(|_| settings.counter.enabled);
         let counter = CounterClient::new(counter_address, settings.counter.timeout);
         let watch_schedule = WatchSchedule::new(seed, settings.node_count, polls_endpoint_list);
@@ -162,7 +166,7 @@
         let max_attempts = settings.limits.max_attempts;
         let engine = DecisionEngine::new(seed, settings);
         let event_loop = EventLoop::new(engine, max_attempts, upstreams, counter.clone(), discovery.clone());
-        let downstream = DownstreamServer::new(event_loop.clone(), rules, budget.clone());
+        let downstream = DownstreamServer::new(event_loop.clone(), rules, budget.clone(), body_memory);
         Node { event_loop, discovery, counter, downstream, budget, shutdown_schedule, polls_endpoint_list }
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,8 @@
 use crate::net::discovery::parser::EndpointList;
 use crate::protocol::settings::SettingsDocument;
 
+/// The number of bytes of a megabyte in the configuration file.
+const BYTES_PER_MEGABYTE: f64 = 1e6;
 /// The environment variable that names the configuration file.
 const PATH_VARIABLE: &str = "PROXY_CONFIG";
 
@@ -37,6 +39,9 @@
         /// Value of the setting.
         text: String,
     },
+    /// The limit on memory is not a positive number. Holds the value that the file gives, in megabytes.
+    #[error("limits.memory_mb: {0} is no positive number")]
+    MemoryLimit(f64),
     /// The seed is not a hexadecimal number of at most 64 bits. Holds the text that the file gives.
     #[error("seed: {0:?} is no hexadecimal number of 64 bits")]
     Seed(String),
@@ -52,6 +57,8 @@
     pub seed: u64,
     /// Maximum number of file descriptors that the process may use; 1024 if the file names none.
     pub max_descriptors: usize,
+    /// Maximum memory of the process, in bytes; 192 MB if the file names none.
+    pub max_memory_bytes: usize,
     /// The endpoint list that the node knew before this start; it may be out of date. Empty if the file holds
     /// none.
     pub known_endpoints: EndpointList,
@@ -78,6 +85,8 @@
 
     /// Maximum number of file descriptors if the file names none.
     const DEFAULT_MAX_DESCRIPTORS: usize = 1024;
+    /// Maximum memory if the file names none, in megabytes.
+    const DEFAULT_MAX_MEMORY_MB: f64 = 192.0;
 
     #[derive(Deserialize)]
     pub struct Config {
@@ -107,11 +116,13 @@
     pub struct ResourceLimits {
         /// Maximum number of file descriptors.
         pub sockets: usize,
+        /// Maximum memory of the process, in megabytes.
+        pub memory_mb: f64,
     }
 
     impl Default for ResourceLimits {
         fn default() -> Self {
-            ResourceLimits { sockets: DEFAULT_MAX_DESCRIPTORS }
+            ResourceLimits { sockets: DEFAULT_MAX_DESCRIPTORS, memory_mb: DEFAULT_MAX_MEMORY_MB }
         }
     }
 }
@@ -136,6 +147,7 @@
             services: ServiceAddresses::parse(&file.discovery, file.counter.as_deref())?,
             seed: parse_seed(&file.seed)?,
             max_descriptors: file.limits.sockets,
+            max_memory_bytes: memory_bytes(file.limits.memory_mb)?,
             known_endpoints: file.known,
             settings: file.settings,
         })
@@ -171,6 +183,15 @@
     text.parse().map_err(|_| ConfigError::Address { setting, text: text.to_owned() })
 }
 
+/// Returns the number of bytes of a limit on memory, which must be positive.
+fn memory_bytes(megabytes: f64) -> Result<usize, ConfigError> {
+    if megabytes > 0.0 {
+        Ok((megabytes * BYTES_PER_MEGABYTE) as usize)
+    } else {
+        Err(ConfigError::MemoryLimit(megabytes))
+    }
+}
+
 fn parse_seed(text: &str) -> Result<u64, ConfigError> {
     u64::from_str_radix(text, 16).map_err(|_| ConfigError::Seed(text.to_owned()))
 }
--- a/src/net/downstream/handler.rs
+++ b/src/net/downstream/handler.rs
@@ -17,7 +17,7 @@
 use crate::net::downstream::request::{RequestError, RequestRules};
 use crate::net::downstream::response::{close_connection, ClientResponse};
 use crate::net::event_loop::EventLoop;
-use crate::net::http_body::{self, BodyError};
+use crate::net::http_body::{self, BodyError, BodyMemory, BodyReservation};
 use crate::net::upstream::ForwardedRequest;
 use crate::protocol::headers;
 
@@ -32,12 +32,14 @@
 pub struct RequestHandler {
     event_loop: Rc<EventLoop>,
     rules: RequestRules,
+    body_memory: Rc<BodyMemory>,
 }
 
 impl RequestHandler {
-    /// Creates a handler that validates requests against `rules` and submits them to `event_loop`.
-    pub fn new(event_loop: Rc<EventLoop>, rules: RequestRules) -> Self {
-        RequestHandler { event_loop, rules }
+    /// Creates a handler that validates requests against `rules` and submits them to `event_loop`. The bodies
+    /// of the requests take their memory from `body_memory`.
+    pub fn new(event_loop: Rc<EventLoop>, rules: RequestRules, body_memory: Rc<BodyMemory>) -> Self {
+        RequestHandler { event_loop, rules, body_memory }
     }
 
     /// Answers one request, and records in `connection` when the request has arrived in full.
@@ -80,8 +82,15 @@
             return Err(RequestError::AmbiguousFraming);
         }
         let new_request = self.rules.validate(&head, received_at)?;
+        if head.method == Method::GET && !body.is_end_stream() {
+            return Err(RequestError::BodyOfGet);
+        }
         let response_due = self.event_loop.final_response_by(new_request.deadline);
-        let body = read_body(&head.method, body, response_due).await?;
+        let body_length = http_body::length_limit(&body).map_err(|_| RequestError::BodyTooLong)?;
+        let Some(reservation) = self.body_memory.try_reserve_for_request(body_length) else {
+            return Ok(ClientResponse::NoBodyMemory { is_body_unread: !body.is_end_stream() });
+        };
+        let body = read_body(body, reservation, response_due).await?;
         connection.request_received();
         if head.method != Method::GET && connection.body_may_be_truncated() {
             return Err(RequestError::BytesAfterBody);
@@ -133,12 +142,13 @@
 }
 
 /// Reads a request's body within `BODY_TIMEOUT`, and before `response_due`.
-async fn read_body(method: &Method, body: Incoming, response_due: Instant) -> Result<Bytes, RequestError> {
-    if method == Method::GET && !body.is_end_stream() {
-        return Err(RequestError::BodyOfGet);
-    }
+async fn read_body(
+    body: Incoming,
+    reservation: BodyReservation,
+    response_due: Instant,
+) -> Result<Bytes, RequestError> {
     let body_due = response_due.min(Instant::now() + BODY_TIMEOUT);
-    match timeout_at(body_due, http_body::read_body(body)).await {
+    match timeout_at(body_due, http_body::read_body(body, reservation)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLong)) => Err(RequestError::BodyTooLong),
         Ok(Err(BodyError::ConnectionBroken | BodyError::Malformed)) => Err(RequestError::BodyIncomplete),
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -19,6 +19,7 @@
 use crate::net::downstream::request::RequestRules;
 use crate::net::downstream::socket;
 use crate::net::event_loop::EventLoop;
+use crate::net::http_body::BodyMemory;
 
 /// The longest time that the node waits for the first response of discovery before it accepts connections. A
 /// discovery agent that is up responds immediately; one that does not respond must not keep clients waiting.
@@ -49,9 +50,15 @@
 }
 
 impl DownstreamServer {
-    /// Creates the downstream side of the node that `event_loop` belongs to.
-    pub fn new(event_loop: Rc<EventLoop>, rules: RequestRules, budget: Rc<DescriptorBudget>) -> Rc<Self> {
-        let handler = Rc::new(RequestHandler::new(event_loop.clone(), rules));
+    /// Creates the downstream side of the node that `event_loop` belongs to. The bodies of requests take their
+    /// memory from `body_memory`.
+    pub fn new(
+        event_loop: Rc<EventLoop>,
+        rules: RequestRules,
+        budget: Rc<DescriptorBudget>,
+        body_memory: Rc<BodyMemory>,
+    ) -> Rc<Self> {
+        let handler = Rc::new(RequestHandler::new(event_loop.clone(), rules, body_memory));
         Rc::new(DownstreamServer {
             event_loop,
             handler,
--- a/src/net/downstream/response.rs
+++ b/src/net/downstream/response.rs
@@ -19,6 +19,12 @@
         /// How long the client should wait before it retries, in microseconds; 0 means no advice.
         retry_after: Micros,
     },
+    /// The node has no memory for the body of the request or of its response. The request was not handed to
+    /// the decision engine. The status is 503.
+    NoBodyMemory {
+        /// Whether the request has a body, which was not read.
+        is_body_unread: bool,
+    },
     /// The request failed, but an attempt may have run. The status is 502.
     Failed,
     /// There was no final response in time. The status is 504.
@@ -41,10 +47,12 @@
     /// Returns whether the connection must close after the response.
     ///
     /// It closes after an invalid request, because the bytes after it may be another request that its sender
-    /// has hidden there. A duplicate id does not close the connection, since the request is otherwise valid.
+    /// has hidden there. A duplicate id does not close the connection, since the request is otherwise valid. It
+    /// also closes if the body was not read: the next request would only come after it.
     pub fn closes_connection(&self) -> bool {
         match self {
             ClientResponse::Invalid(error) => *error != RequestError::IdInUse,
+            ClientResponse::NoBodyMemory { is_body_unread } => *is_body_unread,
             ClientResponse::Served(_)
             | ClientResponse::Rejected { .. }
             | ClientResponse::Failed
@@ -56,7 +64,7 @@
     pub fn into_http(self) -> Response<Full<Bytes>> {
         match self {
             ClientResponse::Served(body) => with_status(StatusCode::OK, body),
-            ClientResponse::Rejected { retry_after: 0 } => {
+            ClientResponse::Rejected { retry_after: 0 } | ClientResponse::NoBodyMemory { .. } => {
                 with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
             }
             ClientResponse::Rejected { retry_after } => too_many_requests(retry_after),
--- a/src/net/http_body.rs
+++ b/src/net/http_body/read.rs
@@ -1,4 +1,4 @@
-//! Reads the bodies of requests and responses, each into one buffer.
+//! Reads the body of a message into one buffer.
 
 use std::error::Error;
 use std::io;
@@ -7,6 +7,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use crate::net::http_body::memory::BodyReservation;
+
 /// The maximum length of the body of a request or a response, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -28,7 +30,7 @@
 ///
 /// # Errors
 /// If the stated length is more than [`MAX_BODY_BYTES`].
-fn length_limit(body: &Incoming) -> Result<usize, BodyError> {
+pub fn length_limit(body: &Incoming) -> Result<usize, BodyError> {
     match body.size_hint().exact() {
         Some(length) if length > MAX_BODY_BYTES as u64 => Err(BodyError::TooLong),
         Some(length) => Ok(length as usize),
@@ -36,24 +38,24 @@
     }
 }
 
-/// Reads a complete body of at most [`MAX_BODY_BYTES`].
+/// Reads a complete body, which may be as long as its reservation. The reservation shrinks to the length of
+/// the body and ends when the last copy of the returned bytes is dropped.
 ///
 /// Each frame is copied and dropped at once: it is a slice of the connection's read buffer, and however short
 /// it is, it would keep that whole buffer in memory.
 ///
 /// # Errors
 /// If the body is longer or malformed, or the connection breaks before its end.
-pub async fn read_body(mut body: Incoming) -> Result<Bytes, BodyError> {
-    let max_bytes = length_limit(&body)?;
-    let mut buffer = Vec::with_capacity(max_bytes);
+pub async fn read_body(mut body: Incoming, reservation: BodyReservation) -> Result<Bytes, BodyError> {
+    let mut buffer = Vec::with_capacity(reservation.bytes());
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|error| body_error(&error))?.into_data() else { continue };
-        if buffer.len() + data.len() > max_bytes {
+        if buffer.len() + data.len() > reservation.bytes() {
             return Err(BodyError::TooLong);
         }
         buffer.extend_from_slice(&data);
     }
-    Ok(buffer.into_boxed_slice().into())
+    Ok(reservation.hold(buffer))
 }
 
 /// Returns why reading a body failed: because it cannot be decoded, or because the connection broke.
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -97,7 +97,7 @@
         maybe_written.set(true);
         let result = tokio::select! {
             biased;
-            result = timeout_at(deadline, exchange(&mut connection, message)) => match result {
+            result = timeout_at(deadline, exchange(&mut connection, message, &self.body_memory)) => match result {
                 Ok(result) => result,
                 // The request may have run, since it is not known here whether its last byte was sent.
                 Err(_) => return ConnectionUse::Ended(AttemptOutcome::without_body(Outcome::TimedOut)),
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Request, StatusCode};
 
 use crate::decision::Outcome;
-use crate::net::http_body::{read_body, BodyError};
+use crate::net::http_body::{length_limit, read_body, BodyError, BodyMemory};
 use crate::net::http_client::{has_unambiguous_length, HttpConnection, SendError};
 use crate::net::upstream::truncation::may_be_truncated;
 use crate::protocol::headers::NOT_RUN;
@@ -27,7 +28,7 @@
     }
 }
 
-/// Writes a request and reads its complete response.
+/// Writes a request and reads its complete response, whose body takes its memory from `body_memory`.
 ///
 /// # Errors
 /// If no response head arrives, or the response is malformed, its body is too long or its stated length may
@@ -35,6 +36,7 @@
 pub(super) async fn exchange(
     connection: &mut HttpConnection,
     message: Request<Full<Bytes>>,
+    body_memory: &BodyMemory,
 ) -> Result<Exchange, SendError> {
     let response = connection.send(message).await?;
     if !has_unambiguous_length(&response) {
@@ -44,7 +46,7 @@
     let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT;
     let has_stated_length = response.headers().contains_key(CONTENT_LENGTH);
     let did_not_run = response.headers().get(NOT_RUN).is_some_and(|value| value == "1");
-    let body = read_body(response.into_body()).await;
+    let body = read_response_body(response.into_body(), body_memory).await;
     if is_rejection && did_not_run {
         // The head is enough to know that the request did not run, even if the body could not be read.
         return Ok(Exchange::without_body(Outcome::Rejected, body.is_ok()));
@@ -62,6 +64,12 @@
     }
 }
 
+/// Reads the body of a response once there is memory for it.
+async fn read_response_body(body: Incoming, body_memory: &BodyMemory) -> Result<Bytes, BodyError> {
+    let reservation = body_memory.reserve_for_response(length_limit(&body)?).await;
+    read_body(body, reservation).await
+}
+
 /// Returns the outcome of a request without a valid response.
 pub(super) fn outcome_of(error: &SendError) -> Outcome {
     match error {
--- a/src/net/upstream/probe.rs
+++ b/src/net/upstream/probe.rs
@@ -26,7 +26,8 @@
         let mut message = Request::new(Full::default());
         *message.uri_mut() = Uri::from_static("/alive");
         message.headers_mut().insert(HOST, pool.host.clone());
-        match timeout(PROBE_TIMEOUT, exchange(&mut connection, message)).await {
+        let response = exchange(&mut connection, message, &self.body_memory);
+        match timeout(PROBE_TIMEOUT, response).await {
             Ok(Ok(response)) => {
                 if response.is_reusable {
                     self.keep(endpoint, connection, &pool);
--- a/src/net/upstream/upstreams.rs
+++ b/src/net/upstream/upstreams.rs
@@ -14,6 +14,7 @@
 use crate::net::discovery::endpoints::{AppliedEntries, Endpoints};
 use crate::net::discovery::labels::PlacementLabels;
 use crate::net::discovery::parser::ListEntry;
+use crate::net::http_body::BodyMemory;
 use crate::net::http_client::HttpConnection;
 use crate::net::upstream::known_endpoints::KnownEndpoints;
 use crate::net::upstream::pool::{AcquireError, ConnectionPools, EndpointPool, PooledConnection};
@@ -36,24 +37,27 @@
 pub struct Upstreams {
     known: RefCell<KnownEndpoints>,
     pub(super) pools: ConnectionPools,
+    pub(super) body_memory: Rc<BodyMemory>,
     connect_timeout: Duration,
 }
 
 impl Upstreams {
     /// Creates the upstream side without endpoints, and starts the task that sweeps idle connections. Both
-    /// times are in microseconds.
+    /// times are in microseconds. The bodies of responses take their memory from `body_memory`.
     ///
     /// An endpoint may close a connection that has been idle for `endpoint_idle_timeout`; the node closes it
     /// at half of that time. If a request crossed the endpoint's close, the node could not distinguish it
     /// from a request that ran.
     pub fn new(
         budget: Rc<DescriptorBudget>,
+        body_memory: Rc<BodyMemory>,
         connect_timeout: Micros,
         endpoint_idle_timeout: Micros,
     ) -> Rc<Self> {
         let upstreams = Rc::new(Upstreams {
             known: RefCell::default(),
             pools: ConnectionPools::new(budget, Duration::from_micros(endpoint_idle_timeout / 2)),
+            body_memory,
             connect_timeout: Duration::from_micros(connect_timeout),
         });
         let weak = Rc::downgrade(&upstreams);
--- a/tests/closing_connections.rs
+++ b/tests/closing_connections.rs
@@ -16,6 +16,7 @@
 use edge_node::net::discovery::{Discovery, WatchSchedule};
 use edge_node::net::downstream::{DownstreamServer, RequestRules};
 use edge_node::net::event_loop::EventLoop;
+use edge_node::net::http_body::BodyMemory;
 use edge_node::net::upstream::Upstreams;
 use edge_node::protocol::settings::SettingsDocument;
 use fakes::{node_settings, unreachable_address, Client, HttpMessage};
@@ -23,6 +24,8 @@
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::task::{spawn_blocking, spawn_local};
 
+/// The memory limit of the node, in bytes.
+const MEMORY_LIMIT: usize = 192_000_000;
 const READINESS_CHECK: &str = "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n";
 
 /// The downstream side of a node without endpoints, and its address.
@@ -38,14 +41,15 @@
         let rules = RequestRules::new(&document);
         let settings = Settings::from(document);
         let budget = DescriptorBudget::new(64);
-        let upstreams = Upstreams::new(budget.clone(), 250_000, 10_000_000);
+        let body_memory = Rc::new(BodyMemory::new(MEMORY_LIMIT));
+        let upstreams = Upstreams::new(budget.clone(), body_memory.clone(), 250_000, 10_000_000);
         let labels = PlacementLabels::new(Vec::new(), Vec::new());
         let schedule = WatchSchedule::new(1, settings.node_count, false);
         let discovery = Discovery::new(unreachable_address(), upstreams.clone(), labels, schedule);
         let counter = CounterClient::new(None, settings.counter.timeout);
         let event_loop =
             EventLoop::new(DecisionEngine::new(1, settings), 4, upstreams, counter, discovery.clone());
-        let downstream = DownstreamServer::new(event_loop, rules, budget);
+        let downstream = DownstreamServer::new(event_loop, rules, budget, body_memory);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port should be bound");
         let address = listener.local_addr().expect("the listener should have a local address");
         spawn_local(downstream.clone().accept(listener, async {}));
--- a/tests/endpoint_lists/node.rs
+++ b/tests/endpoint_lists/node.rs
@@ -17,6 +17,7 @@
 use edge_node::net::discovery::{Discovery, WatchSchedule};
 use edge_node::net::event_loop::EventLoop;
 use edge_node::net::event_sink::EventSink;
+use edge_node::net::http_body::BodyMemory;
 use edge_node::net::upstream::{ForwardedRequest, Upstreams};
 use edge_node::protocol::settings::SettingsDocument;
 use hyper::header::HeaderValue;
@@ -29,6 +30,8 @@
 
 /// The number of yields to the runtime after which data sent on a loopback connection has been read.
 const YIELD_COUNT: usize = 20;
+/// The memory limit of the node, in bytes.
+const MEMORY_LIMIT: usize = 192_000_000;
 /// The time limit of an attempt, in microseconds.
 const ATTEMPT_TIME: u64 = 20_000_000;
 
@@ -49,7 +52,8 @@
             serde_json::from_value(node_settings()).expect("settings document should be valid");
         let settings = Settings::from(document);
         let schedule = WatchSchedule::new(1, settings.node_count, false);
-        let upstreams = Upstreams::new(DescriptorBudget::new(64), 250_000, 10_000_000);
+        let body_memory = Rc::new(BodyMemory::new(MEMORY_LIMIT));
+        let upstreams = Upstreams::new(DescriptorBudget::new(64), body_memory, 250_000, 10_000_000);
         let discovery = Discovery::new(agent.address, upstreams.clone(), labels(), schedule);
         let counter = CounterClient::new(None, settings.counter.timeout);
         let engine = DecisionEngine::new(1, settings);
--- a/tests/fakes/client.rs
+++ b/tests/fakes/client.rs
@@ -9,6 +9,11 @@
 use super::http::{read_message, HttpMessage};
 use super::TEST_TIMEOUT;
 
+/// The body of a request whose class has one.
+const BODY: &str = "slip!";
+/// The header with the length of [`BODY`].
+const BODY_LENGTH_HEADER: &str = "Content-Length: 5\r\n";
+
 /// A request of account 7 with one unit, from which the HTTP text is built.
 pub struct RequestSpec {
     /// The class: `lookup` (safe), `slip` (keyed) or `post` (non-idempotent).
@@ -32,18 +37,26 @@
 }
 
 impl RequestSpec {
+    /// Returns the head of the HTTP request with a body of `length` bytes in place of its own.
+    pub fn head_with_body_length(&self, length: usize) -> String {
+        let text = self.text();
+        let head = text.strip_suffix(BODY).expect("a request of this class has no body");
+        head.replace(BODY_LENGTH_HEADER, &format!("Content-Length: {length}\r\n"))
+    }
+
     /// Returns the HTTP request as it is sent.
     pub fn text(&self) -> String {
         let (method, further_headers, body) = match self.class {
             "lookup" => ("GET", "", ""),
-            "slip" => ("POST", "Idempotency-Key: 5c0f\r\nContent-Length: 5\r\n", "slip!"),
-            _ => ("POST", "Content-Length: 5\r\n", "slip!"),
+            "slip" => ("POST", "Idempotency-Key: 5c0f\r\n", BODY),
+            _ => ("POST", "", BODY),
         };
+        let length_header = if body.is_empty() { "" } else { BODY_LENGTH_HEADER };
         let RequestSpec { class, plan, id, deadline_ms } = self;
         format!(
             "{method} /{class}?key=0000000000000007 HTTP/1.1\r\nHost: service.internal\r\n\
              X-Request-Id: {id}\r\nX-Class: {class}\r\nX-Tariff: {plan}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
-             X-Weight: units=1,spread=2,first=0\r\n{further_headers}\r\n{body}"
+             X-Weight: units=1,spread=2,first=0\r\n{further_headers}{length_header}\r\n{body}"
         )
     }
 }
@@ -75,6 +88,11 @@
         Client { reader: BufReader::new(stream.try_clone().expect("failed to clone the connection")), stream }
     }
 
+    /// Returns the client's own address.
+    pub fn local_address(&self) -> SocketAddr {
+        self.stream.local_addr().expect("failed to get the client's address")
+    }
+
     /// Sends `text` as it is.
     pub fn send_raw(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("failed to write to the connection");
--- a/tests/fakes/configuration.rs
+++ b/tests/fakes/configuration.rs
@@ -139,6 +139,12 @@
         self
     }
 
+    /// Sets the maximum memory of the node, in megabytes; it may be an invalid value.
+    pub fn memory_mb(mut self, megabytes: f64) -> Self {
+        self.0["limits"]["memory_mb"] = json!(megabytes);
+        self
+    }
+
     /// Returns the content of the configuration file.
     pub fn to_text(&self) -> String {
         self.0.to_string()
--- a/tests/fakes/kernel.rs
+++ b/tests/fakes/kernel.rs
@@ -35,11 +35,24 @@
     wait_until_read(|row| row.remote_port == address.port());
 }
 
+/// Returns how many bytes on their way to a client are in the buffers of the kernel, at both ends of its
+/// connection.
+pub fn buffered_bytes_to(client: SocketAddr) -> usize {
+    let buffered = |row: ConnectionRow| match (row.local_port, row.remote_port) {
+        (local, _) if local == client.port() => row.unread_bytes,
+        (_, remote) if remote == client.port() => row.unacknowledged_bytes,
+        _ => 0,
+    };
+    connections().map(buffered).sum()
+}
+
 /// A connection in the kernel's table.
 struct ConnectionRow {
     local_port: u16,
     remote_port: u16,
     is_established: bool,
+    /// Bytes that were written and that the peer's kernel has not acknowledged.
+    unacknowledged_bytes: usize,
     unread_bytes: usize,
 }
 
@@ -63,11 +76,13 @@
 fn parse_row(line: &str) -> Option<ConnectionRow> {
     let fields: Vec<&str> = line.split_whitespace().collect();
     let [_, local, remote, state, queues, ..] = fields.as_slice() else { return None };
+    let (unacknowledged, unread) = queues.split_once(':')?;
     let port = |address: &str| u16::from_str_radix(address.split_once(':')?.1, 16).ok();
     Some(ConnectionRow {
         local_port: port(local)?,
         remote_port: port(remote)?,
         is_established: *state == ESTABLISHED,
-        unread_bytes: usize::from_str_radix(queues.split_once(':')?.1, 16).ok()?,
+        unacknowledged_bytes: usize::from_str_radix(unacknowledged, 16).ok()?,
+        unread_bytes: usize::from_str_radix(unread, 16).ok()?,
     })
 }
--- a/tests/node_configuration.rs
+++ b/tests/node_configuration.rs
@@ -22,6 +22,8 @@
         with("counter", ""),
         with("seed", "seed"),
         with("listen", &address_in_use.to_string()),
+        NodeConfiguration::new(&[]).memory_mb(0.0).to_text(),
+        NodeConfiguration::new(&[]).memory_mb(-32.0).to_text(),
     ];
     for configuration in unusable {
         let exit = run_until_exit(&configuration);
