Abort connections whose client does not read its response within 5 s

Cause: nothing bounded how long a response waits for its client. With the bound on the memory of all bodies, a few clients that read nothing would have kept every other client out.

Change: the state of a connection records since when the socket takes no more of a response; the registry that ends overdue heads aborts the connection after 5 s.

Evidence: responses_that_are_not_read_let_go_of_their_memory (tests/node_body_limit.rs) failed without the change (no request served in 30 s) and passes with it.

--- a/src/net/downstream/connection_registry.rs
+++ b/src/net/downstream/connection_registry.rs
@@ -1,4 +1,5 @@
-//! The registry of open client connections, which aborts those whose request head does not arrive in time.
+//! The registry of open client connections, which aborts those whose request head does not arrive in time and
+//! those whose client does not read a response in time.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -9,8 +10,8 @@
 
 use crate::net::downstream::connection_state::ConnectionState;
 
-/// The interval at which the connections are checked for an overdue request head.
-const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The interval at which the connections are checked for an overdue request head or response.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The open client connections, in the order in which they were registered.
 pub struct ConnectionRegistry {
@@ -42,12 +43,16 @@
         ConnectionRegistration { registry: self.clone(), number }
     }
 
-    /// Asks each connection whose request head is overdue to give the request up.
+    /// Asks each connection whose request head is overdue to give the request up, and aborts each whose client
+    /// has not read a response in time.
     fn give_up_overdue(&self) {
         for state in self.connections.borrow().values() {
             if state.head_overdue() {
                 state.give_up_partial_request();
             }
+            if state.response_overdue() {
+                state.abort();
+            }
         }
     }
 }
@@ -60,7 +65,7 @@
 
 async fn give_up_overdue_periodically(registry: Weak<ConnectionRegistry>) {
     loop {
-        sleep(HEAD_CHECK_INTERVAL).await;
+        sleep(CHECK_INTERVAL).await;
         let Some(registry) = registry.upgrade() else { return };
         registry.give_up_overdue();
     }
--- a/src/net/downstream/connection_state.rs
+++ b/src/net/downstream/connection_state.rs
@@ -21,8 +21,11 @@
 
 /// How long a request head may take to arrive, counted from the connect, from the head's first byte or, if
 /// that byte was read ahead, from the previous response. The registry checks this every
-/// `HEAD_CHECK_INTERVAL`.
+/// `CHECK_INTERVAL`.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a response may wait for its client to read. It is held in memory meanwhile. The registry checks
+/// this every `CHECK_INTERVAL`.
+const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// When descriptors run out, a request that has arrived in part may be given up this long after its latest
 /// byte.
 const PARTIAL_REQUEST_STALL: Duration = Duration::from_millis(200);
@@ -68,6 +71,8 @@
     /// Since when a request head has been arriving, or has been expected on a new connection. `None` at other
     /// times.
     head_started_at: Cell<Option<Instant>>,
+    /// Since when bytes of a response wait for the client to read. `None` if all of them were written.
+    response_blocked_since: Cell<Option<Instant>>,
     pipeline: RefCell<Pipeline>,
     /// Whether the connection closes as soon as no request is in progress, read in part or unread.
     closing: Cell<bool>,
@@ -90,6 +95,7 @@
             body_awaited: Cell::new(false),
             partial_request_since: Cell::new(None),
             head_started_at: Cell::new(Some(Instant::now())),
+            response_blocked_since: Cell::new(None),
             pipeline: RefCell::new(Pipeline::new()),
             closing: Cell::new(closing),
         }
@@ -222,6 +228,24 @@
             && head_started_at.is_some_and(|started_at| started_at.elapsed() > HEAD_TIMEOUT)
     }
 
+    /// Records that the socket takes no further bytes of a response, because the client does not read.
+    pub fn response_blocked(&self) {
+        if self.response_blocked_since.get().is_none() {
+            self.response_blocked_since.set(Some(Instant::now()));
+        }
+    }
+
+    /// Records that all bytes of the responses so far were written to the socket.
+    pub fn responses_written(&self) {
+        self.response_blocked_since.set(None);
+    }
+
+    /// Returns whether a response has waited for its client to read for longer than `RESPONSE_WRITE_TIMEOUT`.
+    pub fn response_overdue(&self) -> bool {
+        let blocked_since = self.response_blocked_since.get();
+        blocked_since.is_some_and(|since| since.elapsed() > RESPONSE_WRITE_TIMEOUT)
+    }
+
     /// Stops counting the connection as unclassified in the budget, unless this was done before.
     fn mark_classified(&self) {
         if self.is_new.replace(false) {
--- a/src/net/downstream/request_bytes_stream.rs
+++ b/src/net/downstream/request_bytes_stream.rs
@@ -1,4 +1,5 @@
-//! A stream over a client's socket that records the bytes read in the state of the connection.
+//! A stream over a client's socket that records in the state of the connection which bytes were read, and
+//! whether responses wait to be written.
 
 use std::io;
 use std::net::Shutdown;
@@ -12,8 +13,8 @@
 
 use crate::net::downstream::connection_state::ConnectionState;
 
-/// A stream over a client's socket that records each read in the state of the connection. The socket is
-/// shared with the task that serves the connection.
+/// A stream over a client's socket that records each read, and each wait of a response, in the state of the
+/// connection. The socket is shared with the task that serves the connection.
 pub struct RequestBytesStream {
     /// The socket.
     pub stream: Rc<TcpStream>,
@@ -51,7 +52,7 @@
         loop {
             ready!(self.stream.poll_write_ready(context))?;
             match write(&self.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.state.response_blocked(),
                 written => return Poll::Ready(written),
             }
         }
@@ -75,7 +76,9 @@
         true
     }
 
+    /// Is called once all buffered bytes were written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.state.responses_written();
         Poll::Ready(Ok(()))
     }
 
--- a/tests/fakes/client.rs
+++ b/tests/fakes/client.rs
@@ -9,6 +9,8 @@
 use super::http::{read_message, HttpMessage};
 use super::TEST_TIMEOUT;
 
+/// A request that the node answers itself.
+const READINESS_CHECK: &str = "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n";
 /// The body of a request whose class has one.
 const BODY: &str = "slip!";
 /// The header with the length of [`BODY`].
@@ -108,6 +110,18 @@
         self.send_raw(&request.text());
     }
 
+    /// Waits until the node has read what had arrived at any of its sockets before this call. Uses a connection
+    /// on which no response is awaited.
+    ///
+    /// The node has one thread. Once it has answered this client, it knows of all that arrived before, and it
+    /// reads that before it answers a second time.
+    pub fn wait_until_node_has_read(&mut self) {
+        for _ in 0..2 {
+            self.send_raw(READINESS_CHECK);
+            assert_eq!(self.response().status(), 200);
+        }
+    }
+
     /// Closes the sending side of the connection. Responses can still be received.
     pub fn close_write_half(&mut self) {
         self.stream
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -24,7 +24,7 @@
 pub use edge_process::{run_until_exit, EdgeProcess, ProcessExit};
 pub use endpoint::{next_request_at_any, EndpointEvent, FakeEndpoint, ReceivedAt, ReceivedRequest};
 pub use http::{ok_response, HttpMessage};
-pub use kernel::{buffered_bytes_to, wait_until_read_at, wait_until_read_from};
+pub use kernel::buffered_bytes_to;
 pub use setups::{assert_failed, assert_served_by, one_endpoint, two_endpoints, OneEndpoint, TwoEndpoints};
 pub use unused_ports::{unreachable_address, ReservedPort};
 
--- a/tests/node_body_limit.rs
+++ b/tests/node_body_limit.rs
@@ -3,14 +3,17 @@
 
 mod fakes;
 
+use std::time::{Duration, Instant};
+
 use fakes::{
-    active, request, wait_until_read_at, Client, EdgeProcess, FakeEndpoint, NodeConfiguration, RequestSpec,
+    active, buffered_bytes_to, request, Client, EdgeProcess, FakeEndpoint, NodeConfiguration, RequestSpec,
+    TEST_TIMEOUT,
 };
 
-/// A memory limit in megabytes with which requests may hold five bodies of the largest length.
-const MEMORY_MB: f64 = 2.0;
+/// A memory limit in megabytes with which requests may hold three bodies of the largest length.
+const MEMORY_MB: f64 = 1.0;
 /// The number of bodies of the largest length that requests may hold.
-const BODIES: usize = 5;
+const BODIES: usize = 3;
 /// The largest length of a body, in bytes.
 const BODY_BYTES: usize = 64 * 1024;
 
@@ -32,7 +35,7 @@
         client
     };
     let clients = (0..BODIES).map(send).collect();
-    wait_until_read_at(edge.address);
+    edge.connect().wait_until_node_has_read();
     clients
 }
 
@@ -77,3 +80,81 @@
     endpoint.next_request().respond_ok("ok");
     client.assert_ok("ok");
 }
+
+/// The number of clients that read no response. The node keeps one response for each of them, which leaves too
+/// little memory for a further request.
+const SLOW_READERS: usize = 3;
+/// The size of the receive buffer of such a client, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 4_096;
+/// More responses than the buffers of the kernel take for one connection.
+const MAX_UNREAD_RESPONSES: usize = 400;
+/// The kernel has taken all that it takes if it has taken nothing more for this long.
+const BLOCKED_AFTER: Duration = Duration::from_millis(500);
+
+/// Connects clients that read no response. Each sends requests one after another until a response stays in the
+/// node because the buffers of the kernel are full.
+fn connect_slow_readers(endpoint: &FakeEndpoint, edge: &EdgeProcess) -> Vec<Client> {
+    let connect = |_| Client::connect_with_receive_buffer(edge.address, RECEIVE_BUFFER_BYTES);
+    let mut unblocked: Vec<Client> = (0..SLOW_READERS).map(connect).collect();
+    let mut blocked = Vec::new();
+    let long_body = "x".repeat(BODY_BYTES);
+    for responses in 1..=MAX_UNREAD_RESPONSES {
+        for (number, client) in unblocked.iter_mut().enumerate() {
+            client.send(&request("post", &format!("slow-{number}-{responses}")));
+            endpoint.next_request().respond_ok(&long_body);
+        }
+        let taken = wait_until_taken_by_kernel(&unblocked, responses * BODY_BYTES);
+        let (still_unblocked, now_blocked): (Vec<_>, Vec<_>) =
+            unblocked.into_iter().zip(taken).partition(|(_, taken)| *taken);
+        unblocked = still_unblocked.into_iter().map(|(client, _)| client).collect();
+        blocked.extend(now_blocked.into_iter().map(|(client, _)| client));
+        if unblocked.is_empty() {
+            return blocked;
+        }
+    }
+    panic!("the kernel took all responses");
+}
+
+/// Waits until the buffers of the kernel have taken this many bytes of responses to each client, or take
+/// nothing more. Returns for each client whether they have taken the bytes.
+fn wait_until_taken_by_kernel(clients: &[Client], bytes: usize) -> Vec<bool> {
+    let addresses: Vec<_> = clients.iter().map(Client::local_address).collect();
+    let mut taken = buffered_bytes_to(&addresses);
+    let mut changed_at = Instant::now();
+    while taken.iter().any(|&taken| taken < bytes) && changed_at.elapsed() < BLOCKED_AFTER {
+        let taken_now = buffered_bytes_to(&addresses);
+        if taken_now != taken {
+            taken = taken_now;
+            changed_at = Instant::now();
+        }
+    }
+    taken.into_iter().map(|taken| taken >= bytes).collect()
+}
+
+/// Sends a request, which the endpoint answers if it gets it, and returns the status of the response.
+fn status_of_next_request(endpoint: &FakeEndpoint, edge: &EdgeProcess, id: &str) -> u16 {
+    let mut client = edge.connect();
+    client.send(&request("post", id));
+    while !client.has_response() {
+        if let Some(received) = endpoint.poll_request() {
+            received.respond_ok("ok");
+        }
+    }
+    client.response().status()
+}
+
+/// Guards against clients that do not read their responses holding the memory for bodies for ever.
+#[test]
+fn responses_that_are_not_read_let_go_of_their_memory() {
+    let endpoint = FakeEndpoint::start();
+    let edge = node_with_little_memory(&endpoint);
+    let _slow_readers = connect_slow_readers(&endpoint, &edge);
+    assert_eq!(status_of_next_request(&endpoint, &edge, "beyond-the-limit"), 503);
+    let until = Instant::now() + TEST_TIMEOUT;
+    for number in 0.. {
+        if status_of_next_request(&endpoint, &edge, &format!("later-{number}")) == 200 {
+            return;
+        }
+        assert!(Instant::now() < until, "the memory of unread responses was not freed");
+    }
+}
--- a/tests/node_body_memory.rs
+++ b/tests/node_body_memory.rs
@@ -3,10 +3,7 @@
 
 mod fakes;
 
-use fakes::{
-    active, assert_served_by, one_endpoint, request, wait_until_read_at, wait_until_read_from, Client,
-    EdgeProcess, FakeEndpoint, NodeConfiguration, OneEndpoint, ReceivedRequest,
-};
+use fakes::{assert_served_by, one_endpoint, request, Client, EdgeProcess, OneEndpoint, ReceivedRequest};
 
 /// The number of messages whose bodies arrive at the same time.
 const MESSAGES: usize = 40;
@@ -72,10 +69,11 @@
             client.send_raw(&request_head(&format!("p-{number}"), framing));
         }
         for _ in 0..PIECES {
-            wait_until_read_at(edge.address);
+            client.wait_until_node_has_read();
+            // The node gives up a body that takes too long, as it may on a busy machine.
             clients.retain_mut(|client| client.try_send_raw(&piece));
         }
-        wait_until_read_at(edge.address);
+        client.wait_until_node_has_read();
     });
 }
 
@@ -93,9 +91,7 @@
 }
 
 fn assert_response_bodies_hold_memory_by_length(framing: Framing) {
-    let endpoint = FakeEndpoint::start();
-    let edge = NodeConfiguration::new(&[active("s-1", endpoint.address)]).start();
-    let mut client = edge.connect();
+    let OneEndpoint { endpoint, edge, mut client } = one_endpoint();
     assert_served_by(&endpoint, &mut client, &request("post", "first"));
     let mut clients: Vec<Client> = (0..MESSAGES).map(|_| edge.connect()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
@@ -107,11 +103,11 @@
     assert_memory_grows_by_length(&edge, MESSAGES * BODY_BYTES, || {
         attempts.retain_mut(|attempt| attempt.try_send_part(head.as_bytes()));
         for _ in 0..PIECES {
-            wait_until_read_from(endpoint.address);
+            client.wait_until_node_has_read();
             // The node closes the connection of a response that takes too long, as it may on a busy machine.
             attempts.retain_mut(|attempt| attempt.try_send_part(piece.as_bytes()));
         }
-        wait_until_read_from(endpoint.address);
+        client.wait_until_node_has_read();
     });
 }
 
