Follow heads that arrive instead of keeping a second copy of them

Cause: `Pipeline` kept a copy of the head that arrives, beside the one in the read buffer, in a buffer that doubled as it grew and stayed for as long as the connection. 590 clients with 15,900 bytes of a head took a node whose limit is 32 MB to 39 MB.

Change: `HeadScanner` follows a head byte by byte and keeps its first eight bytes, whether it has a Content-Length and whether it is complete. What lies behind it is kept until its request starts.

The old head scan stays in use for responses.

--- a/crates/scale-bench/src/bodies/options.rs
+++ b/crates/scale-bench/src/bodies/options.rs
@@ -27,7 +27,7 @@
     /// Number of clients that send a request at the same time
     #[arg(
         long, value_name = "N,...", value_delimiter = ',', default_value = "30,120,340",
-        value_parser = clap::value_parser!(u32).range(1..=500)
+        value_parser = clap::value_parser!(u32).range(1..=600)
     )]
     pub clients: Vec<u32>,
     /// Length of a piece, in bytes
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -10,6 +10,7 @@
 mod connection_registry;
 mod framing;
 mod handler;
+mod head_scanner;
 mod listener;
 mod request;
 mod request_bytes_stream;
