Copy what an open request needs of its head, so that it does not keep the read buffer

Cause: the id, the key and the path of an open request were slices of the buffer in which its head was read, and kept it for as long as the request was open; the connection had to take another one for the body.

Change: they are copies, taken before the body is read; the head is dropped then.

--- a/src/net/downstream/handler.rs
+++ b/src/net/downstream/handler.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
 use tokio::time::{timeout_at, Instant};
@@ -90,12 +91,13 @@
         let Some(reservation) = self.body_memory.try_reserve_for_request(body_length) else {
             return Ok(ClientResponse::NoBodyMemory { is_body_unread: !body.is_end_stream() });
         };
-        let body = read_body(body, reservation, response_due).await?;
+        let mut forward = forwarded_request(&head)?;
+        drop(head);
+        forward.body = read_body(body, reservation, response_due).await?;
         connection.request_received();
-        if head.method != Method::GET && connection.body_may_be_truncated() {
+        if forward.method != Method::GET && connection.body_may_be_truncated() {
             return Err(RequestError::BytesAfterBody);
         }
-        let forward = forwarded_request(head, body)?;
         self.final_response(new_request, forward, response_due).await
     }
 
@@ -156,22 +158,28 @@
     }
 }
 
-/// Builds the request that is sent to endpoints.
-fn forwarded_request(head: Parts, body: Bytes) -> Result<ForwardedRequest, RequestError> {
-    let mut headers = head.headers;
+/// Builds the request that is sent to endpoints, without its body.
+///
+/// What it takes from the head are copies. A slice of the head would keep the whole read buffer in which the
+/// head has arrived for as long as the request is open.
+fn forwarded_request(head: &Parts) -> Result<ForwardedRequest, RequestError> {
+    let request_id = head.headers.get(headers::REQUEST_ID).ok_or(RequestError::NoRequestId)?;
     Ok(ForwardedRequest {
-        method: head.method,
-        uri: origin_form(head.uri)?,
-        request_id: headers.remove(headers::REQUEST_ID).ok_or(RequestError::NoRequestId)?,
-        idempotency_key: headers.remove(headers::IDEMPOTENCY_KEY),
-        body,
+        method: head.method.clone(),
+        uri: origin_form(&head.uri)?,
+        request_id: copy_of(request_id),
+        idempotency_key: head.headers.get(headers::IDEMPOTENCY_KEY).map(copy_of),
+        body: Bytes::new(),
     })
 }
 
-/// Returns the path and query of a request target, which may be in absolute form.
-fn origin_form(uri: Uri) -> Result<Uri, RequestError> {
-    if uri.scheme().is_none() {
-        return Ok(uri);
-    }
-    uri.path_and_query().cloned().map(Uri::from).ok_or(RequestError::NoPath)
+/// Returns a copy with memory of its own; a clone would share that of the head.
+fn copy_of(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
+/// Returns a copy of the path and query of a request target, which may be in absolute form.
+fn origin_form(uri: &Uri) -> Result<Uri, RequestError> {
+    let path_and_query = uri.path_and_query().ok_or(RequestError::NoPath)?;
+    path_and_query.as_str().parse().map_err(|_| RequestError::NoPath)
 }
