Do not count a response's wait for memory as time that its endpoint takes

Cause: a response has 0.25 s from its first byte to its last.

Change: `ResponseStart::pause_until` leaves the wait out. The attempt's own time still bounds it.

Evidence: response_that_waits_for_memory_is_served (tests/node_body_limit.rs, sockets) failed without the change (502) and passes with it.

--- a/src/net/http_client/mod.rs
+++ b/src/net/http_client/mod.rs
@@ -90,6 +90,11 @@
         self.unassigned_bytes.get().map_or(&[], |bytes| bytes)
     }
 
+    /// Returns the tracking of the current response's start.
+    pub fn response_start(&self) -> &ResponseStart {
+        &self.response_start
+    }
+
     /// Resets the tracking of the response start and returns it for the next request.
     pub fn reset_response_start(&self) -> Rc<ResponseStart> {
         self.response_start.reset();
--- a/src/net/http_client/response_start.rs
+++ b/src/net/http_client/response_start.rs
@@ -1,7 +1,7 @@
 //! Tracks when the response to a request begins to arrive.
 
 use std::cell::Cell;
-use std::future::pending;
+use std::future::{pending, Future};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -21,6 +21,8 @@
 pub struct ResponseStart {
     began_at: Cell<Option<Instant>>,
     began: Notify,
+    /// Whether this side does not read the response now.
+    is_paused: Cell<bool>,
 }
 
 impl ResponseStart {
@@ -29,19 +31,36 @@
         self.began_at.get().is_some()
     }
 
-    /// Returns once `max_response_time` has passed since the response began to arrive. Notices only a
-    /// response that begins after the returned future was first polled.
+    /// Returns once `max_response_time` has passed since the response began to arrive, not counting the time
+    /// in which this side did not read it. Notices only a response that begins after the returned future was
+    /// first polled.
     pub async fn wait_until_overdue(&self, max_response_time: Duration) {
         self.began.notified().await;
-        match self.began_at.get() {
-            Some(began_at) => sleep_until(began_at + max_response_time).await,
-            None => pending().await,
+        while let Some(began_at) = self.began_at.get() {
+            let counted_from = if self.is_paused.get() { Instant::now() } else { began_at };
+            let due = counted_from + max_response_time;
+            if due <= Instant::now() {
+                return;
+            }
+            sleep_until(due).await;
         }
+        pending().await
+    }
+
+    /// Waits for `resumed`, and does not count the time of the wait as time that the response takes.
+    pub async fn pause_until<T>(&self, resumed: impl Future<Output = T>) -> T {
+        let paused_at = Instant::now();
+        self.is_paused.set(true);
+        let output = resumed.await;
+        self.is_paused.set(false);
+        self.began_at.set(self.began_at.get().map(|began_at| began_at + paused_at.elapsed()));
+        output
     }
 
     /// Starts the tracking of the next response.
     pub(super) fn reset(&self) {
         self.began_at.set(None);
+        self.is_paused.set(false);
     }
 
     /// Records the arrival of bytes; only the first ones of a response count.
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -8,7 +8,7 @@
 
 use crate::decision::Outcome;
 use crate::net::http_body::{length_limit, read_body, BodyError, BodyMemory};
-use crate::net::http_client::{has_unambiguous_length, HttpConnection, SendError};
+use crate::net::http_client::{has_unambiguous_length, HttpConnection, ResponseStart, SendError};
 use crate::net::upstream::truncation::may_be_truncated;
 use crate::protocol::headers::NOT_RUN;
 
@@ -46,7 +46,7 @@
     let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT;
     let has_stated_length = response.headers().contains_key(CONTENT_LENGTH);
     let did_not_run = response.headers().get(NOT_RUN).is_some_and(|value| value == "1");
-    let body = read_response_body(response.into_body(), body_memory).await;
+    let body = read_response_body(response.into_body(), body_memory, connection.response_start()).await;
     if is_rejection && did_not_run {
         // The head is enough to know that the request did not run, even if the body could not be read.
         return Ok(Exchange::without_body(Outcome::Rejected, body.is_ok()));
@@ -64,9 +64,15 @@
     }
 }
 
-/// Reads the body of a response once there is memory for it.
-async fn read_response_body(body: Incoming, body_memory: &BodyMemory) -> Result<Bytes, BodyError> {
-    let reservation = body_memory.reserve_for_response(length_limit(&body)?).await;
+/// Reads the body of a response once there is memory for it. The wait does not count as time of the response,
+/// since the endpoint does not cause it.
+async fn read_response_body(
+    body: Incoming,
+    body_memory: &BodyMemory,
+    response_start: &ResponseStart,
+) -> Result<Bytes, BodyError> {
+    let reserve = body_memory.reserve_for_response(length_limit(&body)?);
+    let reservation = response_start.pause_until(reserve).await;
     read_body(body, reservation).await
 }
 
--- a/tests/node_body_limit.rs
+++ b/tests/node_body_limit.rs
@@ -158,3 +158,18 @@
         assert!(Instant::now() < until, "the memory of unread responses was not freed");
     }
 }
+
+/// Guards against a response that waits for memory being taken for one that its endpoint sends too slowly.
+#[test]
+fn response_that_waits_for_memory_is_served() {
+    let endpoint = FakeEndpoint::start();
+    let edge = node_with_little_memory(&endpoint);
+    let mut client = edge.connect();
+    client.send(&request("post", "waiting"));
+    let attempt = endpoint.next_request();
+    let _slow_readers = connect_slow_readers(&endpoint, &edge);
+    // There is memory for this response once the connection of a slow reader is aborted.
+    let long_body = "y".repeat(BODY_BYTES);
+    attempt.respond_ok(&long_body);
+    client.assert_ok(&long_body);
+}
