--- a/crates/scale-bench/src/soak.rs
+++ b/crates/scale-bench/src/soak.rs
@@ -6,6 +6,7 @@
 mod client;
 mod endpoints;
 mod flood;
+mod lateness;
 pub(crate) mod message;
 mod options;
 mod plan;
--- a/crates/scale-bench/src/soak/play.rs
+++ b/crates/scale-bench/src/soak/play.rs
@@ -2,19 +2,19 @@
 //! the node down.
 
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use rustix::process::Signal;
 use serde::Serialize;
 use tempfile::NamedTempFile;
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use super::client::{Client, ClientSetup};
 use super::endpoints::{EndpointFault, FaultyEndpoints};
 use super::flood;
+use super::lateness::LatenessMeter;
 use super::plan::{Fault, FaultKind, Flood, Plan, Reload, Shutdown, ShutdownSignal};
 use super::play_times::PlayTimes;
 use super::rules::{Counts, RequestLog, Violation, RESPONSE_SLACK};
@@ -44,8 +44,6 @@
 const RELOAD_SIGNAL_PAUSE: Duration = Duration::from_millis(5);
 /// Time after the end of a flood during which it still affects other clients.
 const FLOOD_EFFECT_TIME: Duration = Duration::from_secs(1);
-/// Interval of the timer that measures how late the timers of this process fire.
-const LATENESS_INTERVAL: Duration = Duration::from_millis(10);
 /// If a timer of this process fired later than this, the play says nothing about the node and counts as
 /// disturbed.
 const MAX_TIMER_LATENESS: Duration = Duration::from_millis(50);
@@ -398,31 +396,3 @@
 fn system_error(operation: &'static str, source: std::io::Error) -> BenchError {
     BenchError::System { operation, source }
 }
-
-/// Measures how late the timers of this process fire.
-struct LatenessMeter {
-    /// Greatest lateness so far, in microseconds.
-    greatest_us: Arc<AtomicU64>,
-    task: JoinHandle<()>,
-}
-
-impl LatenessMeter {
-    fn start() -> LatenessMeter {
-        let greatest_us = Arc::<AtomicU64>::default();
-        let greatest = greatest_us.clone();
-        let task = tokio::spawn(async move {
-            loop {
-                let due = Instant::now() + LATENESS_INTERVAL;
-                sleep_until(due).await;
-                greatest.fetch_max(due.elapsed().as_micros() as u64, Ordering::Relaxed);
-            }
-        });
-        LatenessMeter { greatest_us, task }
-    }
-
-    /// Stops the measurement and returns the greatest lateness.
-    fn greatest(self) -> Duration {
-        self.task.abort();
-        Duration::from_micros(self.greatest_us.load(Ordering::Relaxed))
-    }
-}
