--- a/tests/node_body_limit.rs
+++ b/tests/node_body_limit.rs
@@ -44,7 +44,7 @@
 #[test]
 fn request_beyond_the_memory_for_bodies_is_rejected_unread_and_open_ones_are_served() {
     let endpoint = FakeEndpoint::start();
-    let edge = node_with_little_memory(&endpoint);
+    let mut edge = node_with_little_memory(&endpoint);
     let mut open_clients = fill_memory(&edge, BODY_BYTES);
     // The node keeps the bodies for a further attempt until their requests have a response.
     let attempts: Vec<_> = open_clients.iter().map(|_| endpoint.next_request()).collect();
@@ -53,6 +53,7 @@
     let rejection = rejected_client.response();
     assert_eq!(rejection.status(), 503, "{}", rejection.start_line);
     assert_eq!(rejection.header("connection"), Some("close"));
+    edge.wait_for_log_line("no memory for bodies: 196608 of 262144 bytes held; rejected requests: 1");
     for attempt in attempts {
         assert_eq!(attempt.message.body, "x".repeat(BODY_BYTES).as_bytes());
         attempt.respond_ok("ok");
