--- a/crates/scale-bench/src/bodies/clients.rs
+++ b/crates/scale-bench/src/bodies/clients.rs
@@ -52,6 +52,9 @@
         let id = format!("b-{number}");
         let text =
             request_text(&CLASSES[CLASS_INDEX], &id, UNLIMITED_PLAN, u64::from(number) + 1, DEADLINE_MS);
+        if setup.kind == Kind::Pipelined {
+            return PiecewiseRequest::pipelined(number, length);
+        }
         if setup.kind == Kind::Head {
             return PiecewiseRequest::unfinished_head(&text, length, piece_bytes);
         }
@@ -63,6 +66,20 @@
         PiecewiseRequest { head, writes: framing.writes(length, piece_bytes) }
     }
 
+    /// Returns as many short requests as fit into `length` bytes, all of which are sent at once.
+    fn pipelined(number: u32, length: usize) -> PiecewiseRequest {
+        let class = &CLASSES[CLASS_INDEX];
+        let account = u64::from(number) + 1;
+        let mut requests = String::new();
+        let mut count = 0;
+        while requests.len() < length {
+            count += 1;
+            requests +=
+                &request_text(class, &format!("b-{number}-{count}"), UNLIMITED_PLAN, account, DEADLINE_MS);
+        }
+        PiecewiseRequest { head: requests.into_bytes(), writes: Vec::new() }
+    }
+
     /// Returns a request whose head goes on in a long header until it has `length` bytes, and does not end.
     fn unfinished_head(text: &str, length: usize, piece_bytes: usize) -> PiecewiseRequest {
         let start = text.strip_suffix(SHORT_BODY).unwrap_or(text);
@@ -92,11 +109,14 @@
                 break;
             }
         }
-        read_end(stream).await
+        let end = read_end(&mut stream).await;
+        // The connection stays open until the memory of requests behind the first has been used.
+        sleep_until(start + span).await;
+        end
     }
 }
 
-async fn read_end(stream: TcpStream) -> io::Result<RequestEnd> {
+async fn read_end(stream: &mut TcpStream) -> io::Result<RequestEnd> {
     let mut reader = BufReader::new(stream);
     let Ok(message) = timeout(RESPONSE_TIMEOUT, read_message(&mut reader)).await else {
         return Ok(RequestEnd::Other);
--- a/crates/scale-bench/src/bodies/framing.rs
+++ b/crates/scale-bench/src/bodies/framing.rs
@@ -19,6 +19,8 @@
     ChunkedResponse,
     /// Heads of requests, which are not completed
     Head,
+    /// Short requests one behind the other on each connection, all at once
+    Pipelined,
 }
 
 impl fmt::Display for Kind {
@@ -43,7 +45,7 @@
         match self {
             Kind::Request => Some(Framing::Length),
             Kind::ChunkedRequest => Some(Framing::Chunked),
-            Kind::Response | Kind::ChunkedResponse | Kind::Head => None,
+            Kind::Response | Kind::ChunkedResponse | Kind::Head | Kind::Pipelined => None,
         }
     }
 
@@ -52,7 +54,7 @@
         match self {
             Kind::Response => Some(Framing::Length),
             Kind::ChunkedResponse => Some(Framing::Chunked),
-            Kind::Request | Kind::ChunkedRequest | Kind::Head => None,
+            Kind::Request | Kind::ChunkedRequest | Kind::Head | Kind::Pipelined => None,
         }
     }
 }
--- a/crates/scale-bench/src/bodies/options.rs
+++ b/crates/scale-bench/src/bodies/options.rs
@@ -33,13 +33,14 @@
     /// Length of a piece, in bytes
     #[arg(
         long, value_name = "BYTES,...", value_delimiter = ',', default_value = "128,512,4096",
-        value_parser = clap::value_parser!(u32).range(16..=65_536)
+        value_parser = clap::value_parser!(u32).range(1..=65_536)
     )]
     pub piece_bytes: Vec<u32>,
-    /// Length of a body in bytes; of a head with `--kinds head`
+    /// Length of a body in bytes; of a head with `--kinds head`, of all requests on a
+    /// connection with `--kinds pipelined`
     #[arg(
         long, value_name = "BYTES", default_value_t = 60_000,
-        value_parser = clap::value_parser!(u32).range(1_024..=65_536)
+        value_parser = clap::value_parser!(u32).range(256..=65_536)
     )]
     pub message_bytes: u32,
     /// Milliseconds from the first piece of a request to the last
--- a/crates/scale-bench/tests/bodies.rs
+++ b/crates/scale-bench/tests/bodies.rs
@@ -10,7 +10,7 @@
 fn invalid_arguments_are_rejected_in_one_line() {
     for (arguments, part) in [
         (&["--clients", "0"][..], "--clients"),
-        (&["--piece-bytes", "128,8"], "--piece-bytes"),
+        (&["--piece-bytes", "128,0"], "--piece-bytes"),
         (&["--message-bytes", "70000"], "--message-bytes"),
         (&["--kinds", "request,trailer"], "--kinds"),
         (&["--program", "/nowhere/at/all"], "/nowhere/at/all"),
--- a/tests/node_body_memory.rs
+++ b/tests/node_body_memory.rs
@@ -3,7 +3,7 @@
 
 mod fakes;
 
-use fakes::{assert_served_by, one_endpoint, request, Client, EdgeProcess, OneEndpoint, ReceivedRequest};
+use fakes::{one_endpoint, request, Client, EdgeProcess, FakeEndpoint, OneEndpoint, ReceivedRequest};
 
 /// The number of messages whose bodies arrive at the same time.
 const MESSAGES: usize = 40;
@@ -48,6 +48,31 @@
     head.replace("Content-Length: 5", &framing.header())
 }
 
+/// Connects a client for each message, and has each send a request that is served while those of the others
+/// are open. So the node has the memory of its connections before the messages arrive.
+fn connect_clients(endpoint: &FakeEndpoint, edge: &EdgeProcess) -> Vec<Client> {
+    let mut clients: Vec<Client> = (0..MESSAGES).map(|_| edge.connect()).collect();
+    for attempt in send_short_requests(endpoint, &mut clients, "first") {
+        attempt.respond_ok("ok");
+    }
+    for client in &mut clients {
+        client.assert_ok("ok");
+    }
+    clients
+}
+
+/// Sends a short request of each client, and returns their attempts.
+fn send_short_requests(
+    endpoint: &FakeEndpoint,
+    clients: &mut [Client],
+    id_prefix: &str,
+) -> Vec<ReceivedRequest> {
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&request("post", &format!("{id_prefix}-{number}")));
+    }
+    clients.iter().map(|_| endpoint.next_request()).collect()
+}
+
 /// Calls `act`, and asserts that the node's memory has grown by at most [`MAX_GROWTH`] times `held_bytes`.
 fn assert_memory_grows_by_length(node: &EdgeProcess, held_bytes: usize, act: impl FnOnce()) {
     let peak_before = node.peak_resident_bytes();
@@ -61,8 +86,7 @@
 
 fn assert_request_bodies_hold_memory_by_length(framing: Framing) {
     let OneEndpoint { endpoint, edge, mut client } = one_endpoint();
-    assert_served_by(&endpoint, &mut client, &request("post", "first"));
-    let mut clients: Vec<Client> = (0..MESSAGES).map(|_| edge.connect()).collect();
+    let mut clients = connect_clients(&endpoint, &edge);
     let piece = framing.piece();
     assert_memory_grows_by_length(&edge, MESSAGES * BODY_BYTES, || {
         for (number, client) in clients.iter_mut().enumerate() {
@@ -92,12 +116,8 @@
 
 fn assert_response_bodies_hold_memory_by_length(framing: Framing) {
     let OneEndpoint { endpoint, edge, mut client } = one_endpoint();
-    assert_served_by(&endpoint, &mut client, &request("post", "first"));
-    let mut clients: Vec<Client> = (0..MESSAGES).map(|_| edge.connect()).collect();
-    for (number, client) in clients.iter_mut().enumerate() {
-        client.send(&request("post", &format!("p-{number}")));
-    }
-    let mut attempts: Vec<ReceivedRequest> = clients.iter().map(|_| endpoint.next_request()).collect();
+    let mut clients = connect_clients(&endpoint, &edge);
+    let mut attempts = send_short_requests(&endpoint, &mut clients, "p");
     let head = format!("HTTP/1.1 200 OK\r\n{}\r\n\r\n", framing.header());
     let piece = framing.piece();
     assert_memory_grows_by_length(&edge, MESSAGES * BODY_BYTES, || {
