Bound the number of accounts by an eighth of the limit on memory

Cause: each request, admitted or not, creates the state of its account (QuotaLedger::record_request), kept for 6 to 60 s; nothing bounded their number.

Change: AccountTable keeps as many accounts as an eighth of the limit holds; a new one takes the place of the least recently used one without work in flight, or is rejected if 32 of these have work in flight. MemoryShares holds the shares of the limit in one place.

--- a/src/app.rs
+++ b/src/app.rs
@@ -17,6 +17,7 @@
 
 use crate::config::{self, Config, ConfigError, ServiceAddresses};
 use crate::decision::{DecisionEngine, Event, Settings};
+use crate::memory_shares::MemoryShares;
 use crate::net::counter::CounterClient;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::net::discovery::labels::PlacementLabels;
@@ -71,9 +72,8 @@
 
 async fn run_node(config: Config, config_path: String) -> Result<(), StartError> {
     let mut signals = Signals::install()?;
-    let budget = descriptor_budget(config.max_descriptors)?;
-    let body_memory = Rc::new(BodyMemory::new(config.max_memory_bytes));
-    let node = Node::build(config.settings, config.seed, &config.services, budget, body_memory);
+    let resources = Resources::new(&config)?;
+    let node = Node::build(config.settings, config.seed, &config.services, resources);
     let listener = listen(config.listen_address)
         .map_err(|source| StartError::Listen { address: config.listen_address, source })?;
     let bound_address = listener.local_addr().map_err(StartError::System)?;
@@ -114,6 +114,24 @@
     }
 }
 
+/// What the parts of a node share of the process's limits.
+struct Resources {
+    budget: Rc<DescriptorBudget>,
+    body_memory: Rc<BodyMemory>,
+    /// The number of accounts of which the node may keep state.
+    max_accounts: usize,
+}
+
+impl Resources {
+    fn new(config: &Config) -> Result<Self, StartError> {
+        Ok(Resources {
+            budget: descriptor_budget(config.max_descriptors)?,
+            body_memory: Rc::new(BodyMemory::new(config.max_memory_bytes)),
+            max_accounts: MemoryShares::of(config.max_memory_bytes).max_accounts(),
+        })
+    }
+}
+
 /// Raises the process's limit of file descriptors towards `max_descriptors`, as far as the operating system
 /// allows. Returns a budget of the resulting limit, which is at most `max_descriptors`.
 fn descriptor_budget(max_descriptors: usize) -> Result<Rc<DescriptorBudget>, StartError> {
@@ -144,15 +162,15 @@
         mut document: SettingsDocument,
         seed: u64,
         services: &ServiceAddresses,
-        budget: Rc<DescriptorBudget>,
-        body_memory: Rc<BodyMemory>,
+        resources: Resources,
     ) -> Node {
+        let Resources { budget, body_memory, max_accounts } = resources;
         let zones = mem::take(&mut document.zones);
         let machine_kinds = mem::take(&mut document.machine_kinds);
         let labels = PlacementLabels::new(zones, machine_kinds);
         let connection_idle_timeout = document.limits.connection_idle_timeout();
         let rules = RequestRules::new(&document);
-        let settings = Settings::from(document);
+        let settings = Settings { max_accounts: Some(max_accounts), ..Settings::from(document) };
         let shutdown_schedule = ShutdownSchedule::new(longest_total_timeout(&settings));
         let polls_endpoint_list = settings.polls_endpoint_list;
 
--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -6,7 +6,7 @@
 use super::balancer::Balancer;
 use super::deferral::DeferralTerms;
 use super::load_shedding::{shortest_latency_objective, LoadShedder, MAX_SHED_THRESHOLD, MIN_SHED_THRESHOLD};
-use super::quota::{QueuedRequest, QuotaDecision, QuotaRequest, QuotaStage};
+use super::quota::{AccountLimitReached, QueuedRequest, QuotaDecision, QuotaRequest, QuotaStage};
 use super::{
     AccountId, Action, DecisionEngine, Micros, NewRequest, Plan, RequestId, Settings, TICK_INTERVAL,
 };
@@ -58,20 +58,26 @@
     /// Decides on a new request. The first rule that applies decides:
     ///
     /// 1. If its class is unknown or its id is that of a pending request, it is ignored.
-    /// 2. If the fleet is too loaded for it, it is shed, with a `Retry-After` time unless it is a client
+    /// 2. If its account is new and the node can't keep state of a further account, it is rejected without a
+    ///    `Retry-After` time.
+    /// 3. If the fleet is too loaded for it, it is shed, with a `Retry-After` time unless it is a client
     ///    retry.
-    /// 3. If it is a client retry that would earn too little of its weight, or if no response can arrive in
+    /// 4. If it is a client retry that would earn too little of its weight, or if no response can arrive in
     ///    time, it is rejected without a `Retry-After` time.
-    /// 4. If the quotas grant it, it is sent to an endpoint.
-    /// 5. If the quotas need a reply of the counter, it waits.
-    /// 6. Otherwise it is over quota: it is served if that earns more than it costs and the fleet has room
+    /// 5. If the quotas grant it, it is sent to an endpoint.
+    /// 6. If the quotas need a reply of the counter, it waits.
+    /// 7. Otherwise it is over quota: it is served if that earns more than it costs and the fleet has room
     ///    for it, else it is rejected, with a `Retry-After` time if the deferral schedule has room.
     pub(super) fn on_request(&mut self, mut request: NewRequest, actions: &mut Vec<Action>) {
         if request.class >= self.settings.classes.len() || self.pending.contains(&request.id) {
             return;
         }
         request.units = countable_units(request.units);
-        self.quota.record_request(&self.settings, self.now, &request);
+        match self.quota.record_request(&self.settings, self.now, &request) {
+            Ok(None) => {}
+            Ok(Some(dropped_account)) => self.deferrals.drop_account(dropped_account),
+            Err(AccountLimitReached) => return self.reject(&request.id, None, actions),
+        }
         self.client_timeouts.record(&request, self.now);
         if let LoadDecision::Shed { retry_after } = self.decide_by_load(&request) {
             return self.reject(&request.id, retry_after, actions);
--- a/src/decision/deferral.rs
+++ b/src/decision/deferral.rs
@@ -35,6 +35,11 @@
         Some(due_at - now)
     }
 
+    /// Drops the deferrals of an account.
+    pub fn drop_account(&mut self, account: AccountId) {
+        self.outstanding.remove(&account);
+    }
+
     /// Drops the deferrals of the accounts for which `is_kept` returns `false`.
     pub fn retain_accounts(&mut self, is_kept: impl Fn(AccountId) -> bool) {
         self.outstanding.retain(|&account, _| is_kept(account));
--- a/src/decision/quota/account.rs
+++ b/src/decision/quota/account.rs
@@ -50,6 +50,8 @@
     pub even_share: Option<TokenBucket>,
     pub attempts_in_flight: u32,
     pub last_request_at: Micros,
+    /// The number of the latest use, which increases with each use of any account; 0 before the first one.
+    pub latest_use: u64,
 }
 
 impl Account {
@@ -112,13 +114,17 @@
     /// state again. An account whose lease could not be released can be dropped after
     /// [`LEASED_ACCOUNT_LIFETIME`].
     pub fn can_be_dropped(&self, plan: Option<&Plan>, now: Micros) -> bool {
-        let is_idle = self.attempts_in_flight == 0 && self.call.is_none() && self.queue.is_empty();
         let lifetime = if self.has_releasable_lease() {
             LEASED_ACCOUNT_LIFETIME
         } else {
             refill_time(plan).max(ACCOUNT_LIFETIME)
         };
-        is_idle && now > self.last_request_at + lifetime
+        !self.has_work_in_flight() && now > self.last_request_at + lifetime
+    }
+
+    /// Returns whether an attempt or a call to the counter is in flight, or a request waits for the counter.
+    pub fn has_work_in_flight(&self) -> bool {
+        self.attempts_in_flight > 0 || self.call.is_some() || !self.queue.is_empty()
     }
 
     /// Returns whether the lease holds more than half of the units of a mean request.
--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! [`QuotaLedger`] holds the accounts and connects the parts. Reading order:
 //!
+//! - `account_table`: the accounts that are kept, within a limit on their number.
 //! - `account`: the state of one account, with its `demand` at this node and its `fleet_bucket`; `lease`: how
 //!   many units to lease and when to release them.
 //! - This file, [`QuotaLedger::draw`]: the rules by which a request gets its units. `known_level` decides
@@ -13,6 +14,7 @@
 //! - `replies`, `reconciliation`: what a reply changes, and how the counter is corrected.
 
 mod account;
+mod account_table;
 mod counter_call;
 mod counter_calls;
 mod counter_health;
@@ -27,17 +29,17 @@
 mod request;
 mod speculation;
 
-use std::collections::BTreeMap;
-
 use super::estimators::RandomSource;
 use super::{AccountId, Action, Micros, NewRequest, RequestId, Settings};
 use account::Account;
+use account_table::AccountTable;
 use counter_calls::{CounterCalls, UnitsToAdd};
 use counter_health::CounterHealth;
 use known_level::{decide_by_known_level, BucketView};
 use speculation::{samples_call, Assessment, CallSampling, Speculation};
 
 pub(super) use account::QueuedRequest;
+pub(super) use account_table::AccountLimitReached;
 pub(super) use counter_call::CounterReply;
 pub(super) use request::{QuotaDecision, QuotaRequest, QuotaStage};
 
@@ -51,7 +53,7 @@
 
 /// The accounts of this node, and the calls to the counter service by which the nodes share quotas.
 pub(super) struct QuotaLedger {
-    accounts: BTreeMap<AccountId, Account>,
+    accounts: AccountTable,
     calls: CounterCalls,
     counter_health: CounterHealth,
     speculation: Speculation,
@@ -60,7 +62,7 @@
 impl QuotaLedger {
     pub fn new(settings: &Settings) -> Self {
         QuotaLedger {
-            accounts: BTreeMap::new(),
+            accounts: AccountTable::new(settings.max_accounts),
             calls: CounterCalls::default(),
             counter_health: CounterHealth::new(),
             speculation: Speculation::new(settings),
@@ -74,22 +76,32 @@
 
     /// Returns whether the account is kept.
     pub fn contains(&self, account: AccountId) -> bool {
-        self.accounts.contains_key(&account)
+        self.accounts.contains(account)
     }
 
-    /// Adds a client's request to its account's demand, regardless of the decision about the request.
-    pub fn record_request(&mut self, settings: &Settings, now: Micros, request: &NewRequest) {
+    /// Adds a client's request to its account's demand, regardless of the decision about the request. Returns
+    /// the account that was dropped to make room for a new one, if any.
+    ///
+    /// # Errors
+    /// If the account is new and there is no room for it. Nothing is recorded then.
+    pub fn record_request(
+        &mut self,
+        settings: &Settings,
+        now: Micros,
+        request: &NewRequest,
+    ) -> Result<Option<AccountId>, AccountLimitReached> {
         let plan = settings.plans.get(request.plan);
         let node_count = request.account_node_count.clamp(1, settings.node_count.max(1)) as f64;
+        let dropped = self.accounts.make_room(request.account)?;
         self.accounts
-            .entry(request.account)
-            .or_insert_with(|| Account::new(plan, node_count, request.units, now))
+            .use_or_insert(request.account, || Account::new(plan, node_count, request.units, now))
             .record_request(request.plan, node_count, request.units, now);
         if let Some(plan) = plan {
             let priority_weight = settings.classes[request.class].priority_weight;
             let value = priority_weight * plan.weight_factor * request.units;
             self.speculation.deposit(settings, value);
         }
+        Ok(dropped)
     }
 
     /// Returns whether the account is estimated to have as many attempts in flight over all nodes as its plan
@@ -101,7 +113,7 @@
         now: Micros,
     ) -> bool {
         self.accounts
-            .get(&request.account)
+            .get(request.account)
             .is_some_and(|account| account.is_concurrency_exhausted(request.plan, fleet_mean_latency, now))
     }
 
@@ -130,7 +142,7 @@
         if self.try_draw_from_lease(settings, now, request, actions) {
             return QuotaDecision::Granted { drawn_units: request.units };
         }
-        let Some(account) = self.accounts.get(&request.account) else {
+        let Some(account) = self.accounts.get(request.account) else {
             return QuotaDecision::OverQuota;
         };
         let counter_is_available =
@@ -160,7 +172,7 @@
         sampling: &CallSampling,
         actions: &mut Vec<Action>,
     ) {
-        let Some(account) = self.accounts.get_mut(&request.account) else { return };
+        let Some(account) = self.accounts.get_mut(request.account) else { return };
         account.sampling_weight = sampling.sampling_weight;
         let needed_units = request.units + bucket.queued_units;
         self.request_lease(settings, request.account, needed_units, now, actions);
@@ -175,7 +187,7 @@
         bucket: &BucketView,
         assessment: &Assessment,
     ) -> QuotaDecision {
-        let Some(account) = self.accounts.get_mut(&request.account) else {
+        let Some(account) = self.accounts.get_mut(request.account) else {
             return QuotaDecision::OverQuota;
         };
         even_share::refill(account, request.plan, bucket.level, now);
@@ -191,40 +203,40 @@
 
     /// Queues a request until the counter's reply arrives.
     pub fn enqueue(&mut self, account: AccountId, request: QueuedRequest) {
-        if let Some(account) = self.accounts.get_mut(&account) {
+        if let Some(account) = self.accounts.get_mut(account) {
             account.queue.push_back(request);
         }
     }
 
     /// Removes and returns the account's next queued request. Returns `None` if there is none.
     pub fn dequeue(&mut self, account: AccountId) -> Option<QueuedRequest> {
-        self.accounts.get_mut(&account)?.queue.pop_front()
+        self.accounts.get_mut(account)?.queue.pop_front()
     }
 
     /// Puts a request back at the front of the queue, because it has to wait for one more reply.
     pub fn requeue(&mut self, account: AccountId, request: QueuedRequest) {
-        if let Some(account) = self.accounts.get_mut(&account) {
+        if let Some(account) = self.accounts.get_mut(account) {
             account.queue.push_front(request);
         }
     }
 
     /// Removes a request from the account's queue, at any position.
     pub fn remove_from_queue(&mut self, account: AccountId, id: &RequestId) {
-        if let Some(account) = self.accounts.get_mut(&account) {
+        if let Some(account) = self.accounts.get_mut(account) {
             account.queue.retain(|queued| queued.id != *id);
         }
     }
 
     /// Counts the start of an attempt of the account.
     pub fn attempt_started(&mut self, account: AccountId) {
-        if let Some(account) = self.accounts.get_mut(&account) {
+        if let Some(account) = self.accounts.get_mut(account) {
             account.attempts_in_flight += 1;
         }
     }
 
     /// Counts the end of an attempt of the account.
     pub fn attempt_ended(&mut self, account: AccountId) {
-        if let Some(account) = self.accounts.get_mut(&account) {
+        if let Some(account) = self.accounts.get_mut(account) {
             account.attempts_in_flight = account.attempts_in_flight.saturating_sub(1);
         }
     }
@@ -235,14 +247,14 @@
         // A client may reuse the id immediately. If the entry stayed in the queue, the new request would be
         // sent twice.
         self.remove_from_queue(account, id);
-        if let Some(account) = self.accounts.get_mut(&account) {
+        if let Some(account) = self.accounts.get_mut(account) {
             account.lease += drawn_units;
         }
     }
 
     /// Returns the usage of the account's quota at this node, or `None` if the account is not kept.
     pub fn local_usage(&self, account: AccountId, now: Micros) -> Option<LocalUsage> {
-        let account = self.accounts.get(&account)?;
+        let account = self.accounts.get(account)?;
         Some(LocalUsage { drawn_rate: account.demand.drawn_rate(now), node_count: account.node_count })
     }
 
@@ -258,7 +270,7 @@
         if !self.counter_health.is_available(settings, now) {
             return;
         }
-        for (&id, account) in &mut self.accounts {
+        for (id, account) in self.accounts.iter_mut() {
             if lease::is_idle(account, idle_for, now) {
                 let released = std::mem::take(&mut account.lease);
                 self.calls.start(id, account, UnitsToAdd::release(released), now, actions);
@@ -277,7 +289,7 @@
     /// Drops the accounts that can be dropped without a loss. New accounts keep arriving, so the retained
     /// state would otherwise grow without bound.
     pub fn drop_idle_accounts(&mut self, settings: &Settings, now: Micros) {
-        self.accounts.retain(|_, account| !account.can_be_dropped(settings.plans.get(account.plan), now));
+        self.accounts.retain(|account| !account.can_be_dropped(settings.plans.get(account.plan), now));
     }
 
     /// Drops timed-out calls whose late replies are no longer of use.
@@ -295,7 +307,7 @@
         request: &QuotaRequest<'_>,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let Some(account) = self.accounts.get_mut(&request.account) else { return false };
+        let Some(account) = self.accounts.get_mut(request.account) else { return false };
         let is_at_front = request.stage != QuotaStage::OnArrival || account.queue.is_empty();
         let is_covered = account.lease >= request.units && is_at_front;
         if is_covered {
@@ -317,7 +329,7 @@
         now: Micros,
         actions: &mut Vec<Action>,
     ) {
-        let Some(account) = self.accounts.get_mut(&id) else { return };
+        let Some(account) = self.accounts.get_mut(id) else { return };
         let Some(plan) = settings.plans.get(account.plan) else { return };
         let units = lease::units_to_lease(account, plan, needed_units, now);
         if units > 0.0 {
--- a/src/decision/quota/replies.rs
+++ b/src/decision/quota/replies.rs
@@ -24,7 +24,7 @@
         actions: &mut Vec<Action>,
     ) -> Option<AccountId> {
         let id = self.calls.end(key)?;
-        let account = self.accounts.get_mut(&id)?;
+        let account = self.accounts.get_mut(id)?;
         let call = account.call.take()?;
         if call.needs_reread(reply) {
             account.call = Some(call.with_reread(reply, now));
@@ -63,7 +63,7 @@
     ) {
         let Some(timed_out) = self.calls.take_timed_out(key) else { return };
         let id = timed_out.account;
-        let Some(account) = self.accounts.get_mut(&id) else { return };
+        let Some(account) = self.accounts.get_mut(id) else { return };
         match reply {
             // The total of a past window shows nothing about the current one.
             CounterReply::Total(total) if key == CounterWindow::at(id, now).key() => {
@@ -87,7 +87,7 @@
         total: f64,
         now: Micros,
     ) -> Correction {
-        let Some(account) = self.accounts.get_mut(&id) else { return Correction::default() };
+        let Some(account) = self.accounts.get_mut(id) else { return Correction::default() };
         let Some(plan) = settings.plans.get(account.plan) else { return Correction::default() };
         resolve_unknown_outcome(account, id, &mut call, total, now);
         let mut correction = apply_total(account, plan, id, &call, total, now);
@@ -116,7 +116,7 @@
         now: Micros,
         actions: &mut Vec<Action>,
     ) {
-        let Some(account) = self.accounts.get_mut(&id) else { return };
+        let Some(account) = self.accounts.get_mut(id) else { return };
         let overflow_units = correction.overflow_units;
         let withdraws_correction = overflow_units < 0.0;
         let adds_correction = overflow_units > 0.0 && self.counter_health.is_responsive();
@@ -136,7 +136,7 @@
         now: Micros,
         actions: &mut Vec<Action>,
     ) {
-        let Some(account) = self.accounts.get_mut(&id) else { return };
+        let Some(account) = self.accounts.get_mut(id) else { return };
         if account.call.is_some() {
             account.unreported_units -= excess_units;
         } else if excess_units > MAX_IGNORED_EXCESS {
--- a/src/decision/settings.rs
+++ b/src/decision/settings.rs
@@ -152,4 +152,6 @@
     pub counter: CounterSettings,
     /// How endpoints warm up.
     pub warm_up: WarmUp,
+    /// Maximum number of accounts that the node keeps state of; `None` means no limit.
+    pub max_accounts: Option<usize>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod app;
 pub mod config;
 pub mod decision;
+pub mod memory_shares;
 pub mod net;
 pub mod protocol;
 
--- a/src/net/http_body/memory.rs
+++ b/src/net/http_body/memory.rs
@@ -7,11 +7,9 @@
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::memory_shares::MemoryShares;
 use crate::net::http_body::read::MAX_BODY_BYTES;
 
-/// The bodies may hold one part in this many of the process's memory. The other parts are for connections,
-/// the endpoint list, the decision engine and what the allocator cannot reuse.
-const MEMORY_PARTS: usize = 4;
 /// One part in this many of the bodies' memory is kept for responses: a request that got no memory for its
 /// response would hold the memory of its own body in vain.
 const RESPONSE_PARTS: usize = 4;
@@ -75,7 +73,8 @@
 impl BodyMemory {
     /// Creates the memory for the bodies of a process that may hold `memory_limit` bytes in total.
     pub fn new(memory_limit: usize) -> Self {
-        let bytes = (memory_limit / MEMORY_PARTS).clamp(MIN_BODY_MEMORY_BYTES, Semaphore::MAX_PERMITS);
+        let bytes =
+            MemoryShares::of(memory_limit).bodies.clamp(MIN_BODY_MEMORY_BYTES, Semaphore::MAX_PERMITS);
         BodyMemory {
             free_bytes: Arc::new(Semaphore::new(bytes)),
             kept_for_responses: bytes / RESPONSE_PARTS,
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -218,6 +218,7 @@
             limits: document.limits.into(),
             counter: document.accounting.into(),
             warm_up: document.warm_up.into(),
+            max_accounts: None,
         }
     }
 }
