Keep only the socket of an endpoint connection between two requests

Cause: a connection that can't be used again for 20 ms kept hyper's state: 31 KB of allocations (read buffer 11.7, write buffer 8.2, channel 9.0), in the mean of 432 of them.

Change: once a response was read completely, the connection is reduced to its socket (RestingSocket); a small task closes it when the endpoint does or when bytes arrive, and the next request makes a connection of it again. Before that the kernel is asked what has arrived.

--- a/src/net/http_client/mod.rs
+++ b/src/net/http_client/mod.rs
@@ -1,10 +1,11 @@
 //! HTTP/1.1 client connections. A connection carries one request at a time, never retries, and is closed when
-//! dropped.
+//! dropped. Between two requests it can be reduced to its socket.
 
 mod framing;
 mod response_start;
+mod resting_socket;
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
@@ -17,11 +18,12 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::{spawn_local, AbortHandle};
+use tokio::task::{spawn_local, JoinHandle};
 
 pub use crate::net::http_client::framing::has_unambiguous_length;
 pub use crate::net::http_client::response_start::ResponseStart;
 use crate::net::http_client::response_start::ResponseStartStream;
+pub use crate::net::http_client::resting_socket::RestingSocket;
 
 /// The size of a connection's read buffer, in bytes. It limits the length of a response head.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
@@ -40,30 +42,53 @@
     UnusableResponse,
 }
 
-/// An open connection. Dropping it closes the socket, even if a request is in flight.
-pub struct HttpConnection {
+/// An open connection, with the permit that was acquired for it. Dropping it closes the socket, even if a
+/// request is in flight.
+pub struct HttpConnection<P = ()> {
     sender: SendRequest<Full<Bytes>>,
-    /// The task that reads from and writes to the socket.
-    driver: AbortHandle,
+    driver: Driver<P>,
     response_start: Rc<ResponseStart>,
-    /// What the driver had read and not assigned to a response when it ended; empty while it runs.
-    unassigned_bytes: Rc<OnceCell<Bytes>>,
+    /// What the driver tells when it ends.
+    driver_end: Rc<DriverEnd>,
 }
 
-impl Drop for HttpConnection {
+/// The task that reads from and writes to a socket. Dropping this ends it and closes the socket.
+struct Driver<P> {
+    task: JoinHandle<Option<RestingSocket<P>>>,
+}
+
+impl<P> Drop for Driver<P> {
     fn drop(&mut self) {
-        self.driver.abort();
+        self.task.abort();
     }
 }
 
-impl HttpConnection {
+/// How a driver ends, or has ended.
+#[derive(Default)]
+struct DriverEnd {
+    /// Whether the driver has to end because no further request will be sent for now.
+    is_requested: Cell<bool>,
+    /// What the driver had read and not assigned to a response when it ended by itself; empty before.
+    unassigned_bytes: OnceCell<Bytes>,
+}
+
+impl<P: 'static> HttpConnection<P> {
     /// Opens a connection to `address`. `permit` is dropped together with the socket.
     ///
     /// # Errors
     /// If the connection cannot be established.
-    pub async fn open<P: 'static>(address: SocketAddr, permit: P) -> io::Result<Self> {
+    pub async fn open(address: SocketAddr, permit: P) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        HttpConnection::resume(RestingSocket { stream, permit }).await
+    }
+
+    /// Makes a connection of a socket on which no request is open.
+    ///
+    /// # Errors
+    /// None in practice: the handshake of HTTP/1.1 exchanges no bytes.
+    pub async fn resume(socket: RestingSocket<P>) -> io::Result<Self> {
+        let RestingSocket { stream, permit } = socket;
         let response_start = Rc::<ResponseStart>::default();
         let observed = ResponseStartStream::new(stream, response_start.clone());
         let (sender, connection) = http1::Builder::new()
@@ -71,9 +96,23 @@
             .handshake(TokioIo::new(observed))
             .await
             .map_err(io::Error::other)?;
-        let unassigned_bytes = Rc::<OnceCell<Bytes>>::default();
-        let driver = spawn_local(drive(connection, permit, unassigned_bytes.clone()));
-        Ok(HttpConnection { sender, driver: driver.abort_handle(), response_start, unassigned_bytes })
+        let driver_end = Rc::<DriverEnd>::default();
+        let driver = Driver { task: spawn_local(drive(connection, permit, driver_end.clone())) };
+        Ok(HttpConnection { sender, driver, response_start, driver_end })
+    }
+
+    /// Reduces the connection to its socket, which takes a fraction of the memory. Returns `None`, and closes
+    /// the connection, if it has ended or bytes have arrived that belong to no response. Must be called when
+    /// the complete body of the response has been read.
+    pub async fn into_resting(self) -> Option<RestingSocket<P>> {
+        let HttpConnection { sender, mut driver, driver_end, .. } = self;
+        if sender.is_closed() {
+            return None;
+        }
+        driver_end.is_requested.set(true);
+        // Without a sender, the driver ends once it has written what is left.
+        drop(sender);
+        (&mut driver.task).await.ok().flatten()
     }
 
     /// Returns whether the connection is open, as far as this side knows.
@@ -87,7 +126,7 @@
     /// The driver looks for further bytes in the same step in which it passes on the end of a body. Bytes that
     /// arrive later are not returned: nothing says yet whether there will be any.
     pub fn bytes_after_response(&self) -> &[u8] {
-        self.unassigned_bytes.get().map_or(&[], |bytes| bytes)
+        self.driver_end.unassigned_bytes.get().map_or(&[], |bytes| bytes)
     }
 
     /// Returns the tracking of the current response's start.
@@ -118,19 +157,25 @@
     }
 }
 
-/// Reads from and writes to the socket until the connection ends, then closes it and sets
-/// `unassigned_bytes`. `permit` is dropped together with the socket.
+/// Reads from and writes to the socket until the connection ends. Returns the socket if the end was requested
+/// and nothing has arrived that belongs to no response; otherwise closes it and sets the unassigned bytes.
+/// `permit` is dropped together with the socket.
 async fn drive<P>(
     mut connection: Connection<TokioIo<ResponseStartStream>, Full<Bytes>>,
     permit: P,
-    unassigned_bytes: Rc<OnceCell<Bytes>>,
-) {
-    // The error is ignored here, since the request in flight returns it as well.
-    let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    end: Rc<DriverEnd>,
+) -> Option<RestingSocket<P>> {
+    // The error is not passed on, since the request in flight returns it as well.
+    let result = poll_fn(|context| connection.poll_without_shutdown(context)).await;
     let parts = connection.into_parts();
+    let stream = parts.io.into_inner();
+    if end.is_requested.get() && result.is_ok() && parts.read_buf.is_empty() {
+        return Some(RestingSocket { stream: stream.into_socket(), permit });
+    }
     // hyper reads no further once the last response of a connection has ended.
-    let bytes = if parts.read_buf.is_empty() { parts.io.inner().read_available() } else { parts.read_buf };
-    let _ = unassigned_bytes.set(bytes);
-    drop(parts.io);
+    let bytes = if parts.read_buf.is_empty() { stream.read_available() } else { parts.read_buf };
+    let _ = end.unassigned_bytes.set(bytes);
+    drop(stream);
     drop(permit);
+    None
 }
--- a/src/net/http_client/response_start.rs
+++ b/src/net/http_client/response_start.rs
@@ -84,6 +84,11 @@
         ResponseStartStream { stream, response_start }
     }
 
+    /// Ends the observation and returns the socket.
+    pub(super) fn into_socket(self) -> TcpStream {
+        self.stream
+    }
+
     /// Reads what has arrived, at most [`MAX_BUFFER_BYTES`], without waiting. Returns nothing if nothing has
     /// arrived, or the connection has ended.
     pub(super) fn read_available(&self) -> Bytes {
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -8,7 +8,8 @@
 
 use crate::decision::Outcome;
 use crate::net::http_body::{length_limit, read_body, BodyError, BodyMemory};
-use crate::net::http_client::{has_unambiguous_length, HttpConnection, ResponseStart, SendError};
+use crate::net::http_client::{has_unambiguous_length, ResponseStart, SendError};
+use crate::net::upstream::pool::EndpointConnection;
 use crate::net::upstream::truncation::may_be_truncated;
 use crate::protocol::headers::NOT_RUN;
 
@@ -34,7 +35,7 @@
 /// If no response head arrives, or the response is malformed, its body is too long or its stated length may
 /// be too small.
 pub(super) async fn exchange(
-    connection: &mut HttpConnection,
+    connection: &mut EndpointConnection,
     message: Request<Full<Bytes>>,
     body_memory: &BodyMemory,
 ) -> Result<Exchange, SendError> {
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod exchange;
+mod idle_connection;
 mod known_endpoints;
 mod pool;
 mod probe;
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -14,7 +14,8 @@
 use crate::decision::EndpointId;
 use crate::net::descriptor_budget::{DescriptorBudget, DescriptorPermit};
 use crate::net::discovery::endpoints::Endpoint;
-use crate::net::http_client::HttpConnection;
+use crate::net::http_client::{HttpConnection, RestingSocket};
+use crate::net::upstream::idle_connection::IdleConnection;
 use crate::net::upstream::known_endpoints::KnownEndpoints;
 use crate::net::upstream::reuse::ReuseLimit;
 
@@ -42,11 +43,8 @@
     NoDescriptor,
 }
 
-/// A connection without an open request.
-pub(super) struct IdleConnection {
-    connection: HttpConnection,
-    idle_since: Instant,
-}
+/// A connection to an endpoint, with its permit.
+pub(super) type EndpointConnection = HttpConnection<DescriptorPermit>;
 
 /// The idle connections to one endpoint with a certain address and start time.
 ///
@@ -85,18 +83,25 @@
 
     /// Returns since when the oldest idle connection has been idle; `None` if there is none.
     fn oldest_idle_since(&self) -> Option<Instant> {
-        self.idle.borrow().first().map(|idle| idle.idle_since)
+        self.idle.borrow().first().map(IdleConnection::idle_since)
     }
 }
 
 /// A connection in use and the pool that it was opened for.
 pub(super) struct PooledConnection {
-    pub(super) connection: HttpConnection,
+    pub(super) connection: EndpointConnection,
     pub(super) pool: Rc<EndpointPool>,
     /// How long the connection was idle before this use; `None` for a new connection.
     pub(super) idle_for: Option<Duration>,
 }
 
+/// The socket of a connection that was taken out of its pool.
+struct IdleSocket {
+    socket: RestingSocket<DescriptorPermit>,
+    /// How long the connection was idle.
+    idle_for: Duration,
+}
+
 /// The connection pools of all endpoints.
 pub(super) struct ConnectionPools {
     /// Contains only endpoints that have an idle connection or an attempt in flight, or had one at the last
@@ -135,8 +140,8 @@
 
     /// Returns whether an idle connection may be used for another request.
     fn is_usable(&self, idle: &IdleConnection) -> bool {
-        let idle_for = idle.idle_since.elapsed();
-        idle_for < self.max_idle && self.reuse.allows(idle_for) && idle.connection.is_open()
+        let idle_for = idle.idle_for();
+        idle_for < self.max_idle && self.reuse.allows(idle_for) && idle.is_open()
     }
 
     /// Drops the pools of these endpoints. This closes their idle connections; connections in use are not
@@ -198,18 +203,21 @@
     /// Takes a connection for reuse: the most recently used one that has been idle for
     /// [`MIN_IDLE_BEFORE_REUSE`] and is usable. Closes the unusable connections that it encounters. Returns
     /// `None` if no connection can be reused.
-    pub(super) fn take_idle(&self, pool: &Rc<EndpointPool>) -> Option<PooledConnection> {
+    pub(super) async fn take_idle(&self, pool: &Rc<EndpointPool>) -> Option<PooledConnection> {
+        let IdleSocket { socket, idle_for } = self.take_idle_socket(pool)?;
+        let connection = HttpConnection::resume(socket).await.ok()?;
+        Some(PooledConnection { connection, pool: pool.clone(), idle_for: Some(idle_for) })
+    }
+
+    fn take_idle_socket(&self, pool: &EndpointPool) -> Option<IdleSocket> {
         let mut idle = pool.idle.borrow_mut();
-        let may_be_reused =
-            |connection: &IdleConnection| connection.idle_since.elapsed() >= MIN_IDLE_BEFORE_REUSE;
+        let may_be_reused = |connection: &IdleConnection| connection.idle_for() >= MIN_IDLE_BEFORE_REUSE;
         while let Some(position) = idle.iter().rposition(may_be_reused) {
             let candidate = idle.remove(position);
-            if self.is_usable(&candidate) {
-                return Some(PooledConnection {
-                    connection: candidate.connection,
-                    pool: pool.clone(),
-                    idle_for: Some(candidate.idle_since.elapsed()),
-                });
+            let idle_for = candidate.idle_for();
+            let is_usable = self.is_usable(&candidate);
+            if let Some(socket) = candidate.into_socket().filter(|_| is_usable) {
+                return Some(IdleSocket { socket, idle_for });
             }
         }
         None
@@ -244,8 +252,8 @@
     }
 
     /// Adds a connection to its pool after a response was read completely.
-    pub(super) fn keep(&self, connection: HttpConnection, pool: &EndpointPool) {
-        pool.idle.borrow_mut().push(IdleConnection { connection, idle_since: Instant::now() });
+    pub(super) fn keep(&self, connection: EndpointConnection, pool: &EndpointPool) {
+        pool.idle.borrow_mut().push(IdleConnection::new(connection));
         self.budget.notify_waiters();
     }
 }
--- a/src/net/upstream/upstreams.rs
+++ b/src/net/upstream/upstreams.rs
@@ -15,9 +15,10 @@
 use crate::net::discovery::labels::PlacementLabels;
 use crate::net::discovery::parser::ListEntry;
 use crate::net::http_body::BodyMemory;
-use crate::net::http_client::HttpConnection;
 use crate::net::upstream::known_endpoints::KnownEndpoints;
-use crate::net::upstream::pool::{AcquireError, ConnectionPools, EndpointPool, PooledConnection};
+use crate::net::upstream::pool::{
+    AcquireError, ConnectionPools, EndpointConnection, EndpointPool, PooledConnection,
+};
 
 /// The lower bound of the connect timeout that is derived from the time left for a request.
 const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
@@ -97,7 +98,7 @@
         let connect_timeout = self.connect_timeout.min((time_left / 4).max(MIN_CONNECT_TIMEOUT));
         let pool = self.pool_of_active(endpoint).ok_or(AcquireError::NotActive)?;
         if choice == ConnectionChoice::IdleOrNew {
-            if let Some(idle) = self.pools.take_idle(&pool) {
+            if let Some(idle) = self.pools.take_idle(&pool).await {
                 return Ok(idle);
             }
         }
@@ -124,7 +125,7 @@
 
     /// Returns a connection to its pool if it still leads to an endpoint that takes new requests. Closes it
     /// otherwise.
-    pub(super) fn keep(&self, id: EndpointId, connection: HttpConnection, pool: &Rc<EndpointPool>) {
+    pub(super) fn keep(&self, id: EndpointId, connection: EndpointConnection, pool: &Rc<EndpointPool>) {
         if self.leads_to_active(id, pool) {
             self.pools.keep(connection, pool);
         }
