Read at most 4 KiB of further requests at once from a client connection

Cause: a connection whose client sends many requests at once grew its read buffer to 24 KB and kept a copy of what it had read ahead, of up to 16 KB. Change: a read takes the rest of the body and at most 4 KiB more.

--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -64,7 +64,7 @@
         let _registration = self.registry.register(&self.state);
         // A failure is ignored: without the option responses may be delayed, but they are still correct.
         let _ = self.stream.set_nodelay(true);
-        let observed = RequestBytesStream { stream: self.stream.clone(), state: self.state.clone() };
+        let observed = RequestBytesStream::new(self.stream.clone(), self.state.clone());
         let http_connection = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .header_read_timeout(None)
--- a/src/net/downstream/connection_state.rs
+++ b/src/net/downstream/connection_state.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Returns how many bytes may be read from the socket at once.
+    pub fn max_read_bytes(&self) -> u64 {
+        self.pipeline.borrow().max_read_bytes()
+    }
+
     /// Records that the head of a request was read, and returns how the end of its body is determined.
     pub fn request_started<B: Body>(&self, request: &Request<B>) -> BodyFraming {
         self.mark_classified();
--- a/src/net/downstream/request_bytes_stream.rs
+++ b/src/net/downstream/request_bytes_stream.rs
@@ -8,7 +8,7 @@
 use std::task::{ready, Context, Poll};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 
 use crate::net::downstream::connection_state::ConnectionState;
@@ -16,27 +16,52 @@
 /// A stream over a client's socket that records each read, and each wait of a response, in the state of the
 /// connection. The socket is shared with the task that serves the connection.
 pub struct RequestBytesStream {
-    /// The socket.
-    pub stream: Rc<TcpStream>,
+    reader: Take<SharedSocket>,
     /// The state of the connection, in which all bytes read are recorded.
-    pub state: Rc<ConnectionState>,
+    state: Rc<ConnectionState>,
 }
 
-impl AsyncRead for RequestBytesStream {
+/// A socket that is read by this stream alone, although others hold it as well.
+struct SharedSocket(Rc<TcpStream>);
+
+impl RequestBytesStream {
+    /// Creates a stream over `stream` that records in `state`.
+    pub fn new(stream: Rc<TcpStream>, state: Rc<ConnectionState>) -> Self {
+        RequestBytesStream { reader: SharedSocket(stream).take(0), state }
+    }
+
+    fn socket(&self) -> &TcpStream {
+        &self.reader.get_ref().0
+    }
+}
+
+impl AsyncRead for SharedSocket {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled_before = buffer.filled().len();
         loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read_buf(buffer) {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read_buf(buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
-                Ok(_) => break,
+                Ok(_) => return Poll::Ready(Ok(())),
             }
         }
+    }
+}
+
+impl AsyncRead for RequestBytesStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buffer.filled().len();
+        let max_bytes = self.state.max_read_bytes();
+        self.reader.set_limit(max_bytes);
+        ready!(Pin::new(&mut self.reader).poll_read(context, buffer))?;
         self.state.bytes_received(&buffer.filled()[filled_before..]);
         Poll::Ready(Ok(()))
     }
@@ -50,8 +75,8 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match write(&self.stream) {
+            ready!(self.socket().poll_write_ready(context))?;
+            match write(self.socket()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.state.response_blocked(),
                 written => return Poll::Ready(written),
             }
@@ -83,6 +108,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(self.socket()).shutdown(Shutdown::Write))
     }
 }
