Bound connections by the limit on memory, and refuse what is beyond at once

Callers saw: 600 clients that send heads of 96 short fields took a node with 32 MB to 51 MB, 600 that stop half way through a body to 36 MB; over its limit a node is killed. Beside 600 half heads 344 of 764 usual requests found their connection closed.

Cause: how many connections there may be followed from the descriptors alone.

Change: connections hold seven sixteenths of the limit (ConnectionMemory): 24 KiB a client, 28 KiB an endpoint's connection with an open request, 2 KiB a resting one; accounts now get a sixteenth. Beyond that idle connections are closed, those in use only after a second without a request; then the new connection gets 503 and a close. While connections are refused, requests that their client has sent further ones behind get 503 too.

--- a/src/app.rs
+++ b/src/app.rs
@@ -18,6 +18,7 @@
 use crate::config::{self, Config, ConfigError, ServiceAddresses};
 use crate::decision::{DecisionEngine, Event, Settings};
 use crate::memory_shares::MemoryShares;
+use crate::net::connection_memory::ConnectionMemory;
 use crate::net::counter::CounterClient;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::net::discovery::labels::PlacementLabels;
@@ -117,6 +118,7 @@
 /// What the parts of a node share of the process's limits.
 struct Resources {
     budget: Rc<DescriptorBudget>,
+    connection_memory: Rc<ConnectionMemory>,
     body_memory: Rc<BodyMemory>,
     /// The number of accounts of which the node may keep state.
     max_accounts: usize,
@@ -126,6 +128,7 @@
     fn new(config: &Config) -> Result<Self, StartError> {
         Ok(Resources {
             budget: descriptor_budget(config.max_descriptors)?,
+            connection_memory: ConnectionMemory::new(config.max_memory_bytes),
             body_memory: Rc::new(BodyMemory::new(config.max_memory_bytes)),
             max_accounts: MemoryShares::of(config.max_memory_bytes).max_accounts(),
         })
@@ -164,7 +167,7 @@
         services: &ServiceAddresses,
         resources: Resources,
     ) -> Node {
-        let Resources { budget, body_memory, max_accounts } = resources;
+        let Resources { budget, connection_memory, body_memory, max_accounts } = resources;
         let zones = mem::take(&mut document.zones);
         let machine_kinds = mem::take(&mut document.machine_kinds);
         let labels = PlacementLabels::new(zones, machine_kinds);
@@ -175,8 +178,13 @@
         let polls_endpoint_list = settings.polls_endpoint_list;
 
         let connect_timeout = settings.limits.connect_timeout;
-        let upstreams =
-            Upstreams::new(budget.clone(), body_memory.clone(), connect_timeout, connection_idle_timeout);
+        let upstreams = Upstreams::new(
+            budget.clone(),
+            connection_memory.clone(),
+            body_memory.clone(),
+            connect_timeout,
+            connection_idle_timeout,
+        );
         let counter_address = services.counter.filter(|_| settings.counter.enabled);
         let counter = CounterClient::new(counter_address, settings.counter.timeout);
         let watch_schedule = WatchSchedule::new(seed, settings.node_count, polls_endpoint_list);
@@ -184,7 +192,8 @@
         let max_attempts = settings.limits.max_attempts;
         let engine = DecisionEngine::new(seed, settings);
         let event_loop = EventLoop::new(engine, max_attempts, upstreams, counter.clone(), discovery.clone());
-        let downstream = DownstreamServer::new(event_loop.clone(), rules, budget.clone(), body_memory);
+        let downstream =
+            DownstreamServer::new(event_loop.clone(), rules, budget.clone(), connection_memory, body_memory);
         Node { event_loop, discovery, counter, downstream, budget, shutdown_schedule, polls_endpoint_list }
     }
 
--- a/src/memory_shares.rs
+++ b/src/memory_shares.rs
@@ -6,8 +6,10 @@
 const PARTS: usize = 16;
 /// The parts for the bodies of open requests and responses.
 const BODY_PARTS: usize = 4;
+/// The parts for connections.
+const CONNECTION_PARTS: usize = 7;
 /// The parts for the state of accounts.
-const ACCOUNT_PARTS: usize = 2;
+const ACCOUNT_PARTS: usize = 1;
 /// What the state of one account takes at most, in bytes: its entries in ordered maps that are two thirds
 /// full, and the queues of its waiting requests and of its deferrals.
 const ACCOUNT_BYTES: usize = 768;
@@ -17,6 +19,8 @@
 pub struct MemoryShares {
     /// For the bodies of open requests and responses.
     pub bodies: usize,
+    /// For the connections of clients and to endpoints.
+    pub connections: usize,
     /// For the state of accounts.
     pub accounts: usize,
 }
@@ -25,7 +29,11 @@
     /// Returns the shares of a process that may hold `limit` bytes in total.
     pub fn of(limit: usize) -> Self {
         let parts = |count| limit / PARTS * count;
-        MemoryShares { bodies: parts(BODY_PARTS), accounts: parts(ACCOUNT_PARTS) }
+        MemoryShares {
+            bodies: parts(BODY_PARTS),
+            connections: parts(CONNECTION_PARTS),
+            accounts: parts(ACCOUNT_PARTS),
+        }
     }
 
     /// Returns the number of accounts of which the process may keep state; at least 1.
--- a/src/net/descriptor_budget.rs
+++ b/src/net/descriptor_budget.rs
@@ -18,6 +18,9 @@
 const MIN_PERMITS: usize = 4;
 /// The smallest number of permits for client connections.
 const MIN_DOWNSTREAM_PERMITS: usize = 2;
+/// When memory is short, client connections that have sent requests are closed only if they have been idle for
+/// this long: clients that go on sending keep their connections, and new ones are refused.
+pub const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_secs(1);
 /// How long a connection may take to close after it was asked to, before the next one is asked as well.
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -40,12 +43,20 @@
     /// The number of client connections that are so new that their first request may still be unread.
     unclassified: Cell<usize>,
     /// The client connections without an open request, in the order in which they are asked to close.
-    idle_downstream: RefCell<BTreeMap<IdleRegistration, Rc<Notify>>>,
+    idle_downstream: RefCell<BTreeMap<IdleRegistration, IdleEntry>>,
     /// The client connections on which a request has arrived in part, in the order in which they may be asked
     /// to give it up.
     partial_requests: RefCell<BTreeMap<PartialRequestRegistration, Rc<Notify>>>,
 }
 
+/// An idle client connection.
+struct IdleEntry {
+    /// Notified to ask the connection to close.
+    close: Rc<Notify>,
+    /// When it became idle.
+    since: Instant,
+}
+
 /// Identifies an idle client connection and gives its order among the idle ones.
 ///
 /// Connections that have never sent a request come first, then those that have been idle for longest.
@@ -145,22 +156,36 @@
     /// was asked to close gets `EVICTION_TIMEOUT` for it, during which no other connection is asked. If
     /// `close_one` returns `false`, there is no connection to close, and the call waits for the budget to
     /// change.
-    pub async fn acquire_or_evict(
+    pub async fn acquire_or_evict<P>(
         &self,
-        try_acquire: impl Fn() -> Option<DescriptorPermit>,
+        try_acquire: impl Fn() -> Option<P>,
         close_one: impl Fn() -> bool,
-    ) -> DescriptorPermit {
+    ) -> P {
         loop {
             let changed = self.changed.notified();
-            if let Some(permit) = try_acquire() {
+            if let Some(permit) = self.try_acquire_or_evict(&try_acquire, &close_one).await {
                 return permit;
             }
+            self.wait_for_eviction(changed).await;
+        }
+    }
+
+    /// Does the same as [`acquire_or_evict`](Self::acquire_or_evict), but returns `None` if there is no
+    /// connection to close.
+    pub async fn try_acquire_or_evict<P>(
+        &self,
+        try_acquire: impl Fn() -> Option<P>,
+        close_one: impl Fn() -> bool,
+    ) -> Option<P> {
+        loop {
+            if let Some(permit) = try_acquire() {
+                return Some(permit);
+            }
             if !close_one() {
-                self.wait_for_eviction(changed).await;
-                continue;
+                return None;
             }
             if let Ok(permit) = timeout(EVICTION_TIMEOUT, self.wait_for_permit(&try_acquire)).await {
-                return permit;
+                return Some(permit);
             }
         }
     }
@@ -178,7 +203,7 @@
         }
     }
 
-    async fn wait_for_permit(&self, try_acquire: impl Fn() -> Option<DescriptorPermit>) -> DescriptorPermit {
+    async fn wait_for_permit<P>(&self, try_acquire: impl Fn() -> Option<P>) -> P {
         loop {
             let changed = self.changed.notified();
             match try_acquire() {
@@ -196,7 +221,8 @@
     /// Registers a client connection as idle. The budget notifies `close` to ask the connection to close.
     pub fn register_idle(&self, close: Rc<Notify>, has_sent_request: bool) -> IdleRegistration {
         let registration = IdleRegistration { has_sent_request, idle_order: self.next_order() };
-        self.idle_downstream.borrow_mut().insert(registration, close);
+        let entry = IdleEntry { close, since: Instant::now() };
+        self.idle_downstream.borrow_mut().insert(registration, entry);
         self.notify_waiters();
         registration
     }
@@ -256,9 +282,17 @@
     /// the connections in use. If fewer are unclassified, such idle connections are closed, because sparing
     /// them would keep new clients waiting.
     pub fn evict_downstream(&self) -> bool {
-        self.close_first_idle(|first| !first.has_sent_request)
+        self.evict_downstream_idle_for(Duration::ZERO)
+    }
+
+    /// Does the same as [`evict_downstream`](Self::evict_downstream), but spares the connections that have sent
+    /// requests and have been idle for less than `min_idle`.
+    pub fn evict_downstream_idle_for(&self, min_idle: Duration) -> bool {
+        self.close_first_idle(|first, _| !first.has_sent_request)
             || self.give_up_partial_request()
-            || self.close_first_idle(|_| !self.is_flooded_by_new_connections())
+            || self.close_first_idle(|_, since| {
+                !self.is_flooded_by_new_connections() && since.elapsed() >= min_idle
+            })
     }
 
     /// Returns whether the client connections with a partial request hold at least half of the clients'
@@ -272,10 +306,10 @@
         self.unclassified.get() * 2 >= self.max_downstream_permits
     }
 
-    fn close_first_idle(&self, may_close: impl Fn(&IdleRegistration) -> bool) -> bool {
+    fn close_first_idle(&self, may_close: impl Fn(&IdleRegistration, Instant) -> bool) -> bool {
         let mut idle = self.idle_downstream.borrow_mut();
-        let first = idle.first_entry().filter(|first| may_close(first.key()));
-        first.map(|first| first.remove().notify_one()).is_some()
+        let first = idle.first_entry().filter(|first| may_close(first.key(), first.get().since));
+        first.map(|first| first.remove().close.notify_one()).is_some()
     }
 
     fn give_up_partial_request(&self) -> bool {
@@ -291,6 +325,13 @@
     }
 }
 
+impl DescriptorPermit {
+    /// Wakes the tasks that wait for a permit, after a change that may free one.
+    pub fn notify_waiters(&self) {
+        self.budget.notify_waiters();
+    }
+}
+
 impl Drop for DescriptorPermit {
     fn drop(&mut self) {
         let budget = &self.budget;
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use crate::net::connection_memory::ConnectionReservation;
 use crate::net::descriptor_budget::DescriptorPermit;
 use crate::net::downstream::connection_registry::ConnectionRegistry;
 use crate::net::downstream::connection_state::ConnectionState;
@@ -33,6 +34,20 @@
 /// close.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// What a client connection holds of the node's descriptors and memory. Dropping it returns both.
+pub struct ClientPermit {
+    // The memory is returned first, since dropping the descriptor wakes those that wait for either.
+    _memory: ConnectionReservation,
+    _descriptor: DescriptorPermit,
+}
+
+impl ClientPermit {
+    /// Joins the two parts of the permit.
+    pub fn new(memory: ConnectionReservation, descriptor: DescriptorPermit) -> Self {
+        ClientPermit { _memory: memory, _descriptor: descriptor }
+    }
+}
+
 /// One client connection.
 pub struct DownstreamConnection {
     /// Answers the requests of the connection.
@@ -56,10 +71,10 @@
 }
 
 impl DownstreamConnection {
-    /// Serves the connection until it is closed, then returns `permit` to the descriptor budget. After
+    /// Serves the connection until it is closed, then returns `permit`. After
     /// `close_idle_generation` has changed, the connection is closed as soon as it is idle; the value itself
     /// has no meaning.
-    pub async fn run(self, permit: DescriptorPermit, close_idle_generation: watch::Receiver<u32>) {
+    pub async fn run(self, permit: ClientPermit, close_idle_generation: watch::Receiver<u32>) {
         let _permit = permit;
         let _registration = self.registry.register(&self.state);
         // A failure is ignored: without the option responses may be delayed, but they are still correct.
--- a/src/net/downstream/connection_state.rs
+++ b/src/net/downstream/connection_state.rs
@@ -150,6 +150,11 @@
         self.pipeline.borrow().body_may_be_truncated()
     }
 
+    /// Returns whether bytes of a further request have been read behind the request in progress.
+    pub fn has_further_request(&self) -> bool {
+        self.pipeline.borrow().has_read_ahead()
+    }
+
     /// Records that the response to the request in progress is ready.
     pub fn request_completed(&self) {
         self.request_received();
--- a/src/net/downstream/handler.rs
+++ b/src/net/downstream/handler.rs
@@ -13,6 +13,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::decision::{NewRequest, RequestId};
+use crate::net::connection_memory::ConnectionMemory;
 use crate::net::downstream::connection_state::ConnectionState;
 use crate::net::downstream::framing::BodyFraming;
 use crate::net::downstream::request::{RequestError, RequestRules};
@@ -33,14 +34,20 @@
 pub struct RequestHandler {
     event_loop: Rc<EventLoop>,
     rules: RequestRules,
+    connection_memory: Rc<ConnectionMemory>,
     body_memory: Rc<BodyMemory>,
 }
 
 impl RequestHandler {
     /// Creates a handler that validates requests against `rules` and submits them to `event_loop`. The bodies
     /// of the requests take their memory from `body_memory`.
-    pub fn new(event_loop: Rc<EventLoop>, rules: RequestRules, body_memory: Rc<BodyMemory>) -> Self {
-        RequestHandler { event_loop, rules, body_memory }
+    pub fn new(
+        event_loop: Rc<EventLoop>,
+        rules: RequestRules,
+        connection_memory: Rc<ConnectionMemory>,
+        body_memory: Rc<BodyMemory>,
+    ) -> Self {
+        RequestHandler { event_loop, rules, connection_memory, body_memory }
     }
 
     /// Answers one request, and records in `connection` when the request has arrived in full.
@@ -88,8 +95,8 @@
         }
         let response_due = self.event_loop.final_response_by(new_request.deadline);
         let body_length = http_body::length_limit(&body).map_err(|_| RequestError::BodyTooLong)?;
-        let Some(reservation) = self.body_memory.try_reserve_for_request(body_length) else {
-            return Ok(ClientResponse::NoBodyMemory { is_body_unread: !body.is_end_stream() });
+        let Some(reservation) = self.reserve_memory(body_length, connection) else {
+            return Ok(ClientResponse::NoMemory { is_body_unread: !body.is_end_stream() });
         };
         let mut forward = forwarded_request(&head)?;
         drop(head);
@@ -101,6 +108,16 @@
         self.final_response(new_request, forward, response_due).await
     }
 
+    /// Reserves memory for the body of a request. Returns `None` if there is none, or if the client has sent
+    /// further requests already while the node refuses connections for want of memory: one client's many
+    /// requests would hold what others need for a long time.
+    fn reserve_memory(&self, body_length: usize, connection: &ConnectionState) -> Option<BodyReservation> {
+        if connection.has_further_request() && self.connection_memory.is_refusing() {
+            return None;
+        }
+        self.body_memory.try_reserve_for_request(body_length)
+    }
+
     /// Submits a request to the event loop and waits for its final response, until `response_due` at the
     /// latest.
     async fn final_response(
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -1,4 +1,5 @@
-//! Accepts client connections within the descriptor budget until the listener is closed.
+//! Accepts client connections within the descriptor budget until the listener is closed, and refuses those for
+//! which there is no memory.
 
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
@@ -11,11 +12,13 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout};
 
-use crate::net::descriptor_budget::{DescriptorBudget, DescriptorPermit};
-use crate::net::downstream::connection::DownstreamConnection;
+use crate::net::connection_memory::ConnectionMemory;
+use crate::net::descriptor_budget::{DescriptorBudget, DescriptorPermit, MIN_IDLE_BEFORE_EVICTION};
+use crate::net::downstream::connection::{ClientPermit, DownstreamConnection};
 use crate::net::downstream::connection_registry::ConnectionRegistry;
 use crate::net::downstream::connection_state::ConnectionState;
 use crate::net::downstream::handler::RequestHandler;
+use crate::net::downstream::refusal;
 use crate::net::downstream::request::RequestRules;
 use crate::net::downstream::socket;
 use crate::net::event_loop::EventLoop;
@@ -32,6 +35,7 @@
     event_loop: Rc<EventLoop>,
     handler: Rc<RequestHandler>,
     budget: Rc<DescriptorBudget>,
+    connection_memory: Rc<ConnectionMemory>,
     registry: Rc<ConnectionRegistry>,
     /// Incremented to make the connections that are open at that time close as soon as they are idle. The
     /// value itself has no meaning.
@@ -56,13 +60,15 @@
         event_loop: Rc<EventLoop>,
         rules: RequestRules,
         budget: Rc<DescriptorBudget>,
+        connection_memory: Rc<ConnectionMemory>,
         body_memory: Rc<BodyMemory>,
     ) -> Rc<Self> {
-        let handler = Rc::new(RequestHandler::new(event_loop.clone(), rules, body_memory));
+        let handler = RequestHandler::new(event_loop.clone(), rules, connection_memory.clone(), body_memory);
         Rc::new(DownstreamServer {
             event_loop,
-            handler,
+            handler: Rc::new(handler),
             budget,
+            connection_memory,
             registry: ConnectionRegistry::new(),
             close_idle_generation: watch::Sender::new(0),
             listener_closing: Cell::new(false),
@@ -120,12 +126,22 @@
     async fn acquire_permit(&self) -> DescriptorPermit {
         let close_one = || {
             let upstream_closed = self.budget.is_exhausted() && self.event_loop.upstreams.close_oldest_idle();
-            upstream_closed || self.budget.evict_downstream()
+            upstream_closed || self.evict_downstream()
         };
         self.budget.acquire_or_evict(|| self.budget.try_acquire_downstream(), close_one).await
     }
 
-    /// Accepts the connections in the backlog, even beyond the descriptor budget. Their clients have
+    /// Asks a client connection to close. While there is no memory for a further one, a descriptor does not help
+    /// a new client, so those that go on sending are spared.
+    fn evict_downstream(&self) -> bool {
+        if self.connection_memory.has_room_for_client() {
+            self.budget.evict_downstream()
+        } else {
+            self.budget.evict_downstream_idle_for(MIN_IDLE_BEFORE_EVICTION)
+        }
+    }
+
+    /// Accepts the connections in the backlog, even beyond the descriptor budget, but not beyond the memory. Their clients have
     /// connected and may have sent a request, and closing the listener first would reset them.
     async fn accept_backlog(self: &Rc<Self>, listener: &TcpListener) {
         // The runtime learns of the connections that have arrived when the task yields to it.
@@ -139,9 +155,33 @@
         }
     }
 
-    /// Starts the task that serves a connection.
-    fn serve(&self, stream: TcpStream, permit: DescriptorPermit) {
+    /// Starts the task that serves a connection if there is memory for it, or else one that waits for memory
+    /// and refuses the connection if there is none.
+    fn serve(self: &Rc<Self>, stream: TcpStream, descriptor: DescriptorPermit) {
         socket::clear_assumed_readiness(&stream);
+        match self.connection_memory.try_reserve_for_client() {
+            Some(memory) => self.start_serving(stream, ClientPermit::new(memory, descriptor)),
+            None => {
+                tokio::task::spawn_local(self.clone().serve_or_refuse(stream, descriptor));
+            }
+        }
+    }
+
+    /// Has idle connections closed until there is memory for a connection, and serves it. Refuses it if no
+    /// connection can be closed for it.
+    async fn serve_or_refuse(self: Rc<Self>, stream: TcpStream, descriptor: DescriptorPermit) {
+        let try_reserve = || self.connection_memory.try_reserve_for_client();
+        match self.budget.try_acquire_or_evict(try_reserve, || self.evict_downstream()).await {
+            Some(memory) => self.start_serving(stream, ClientPermit::new(memory, descriptor)),
+            None => {
+                self.connection_memory.record_refusal();
+                refusal::refuse(&stream).await;
+            }
+        }
+    }
+
+    /// Starts the task that serves a connection.
+    fn start_serving(&self, stream: TcpStream, permit: ClientPermit) {
         let state = ConnectionState::new(self.budget.clone(), self.listener_closing.get());
         let connection = DownstreamConnection {
             handler: self.handler.clone(),
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -12,6 +12,7 @@
 mod handler;
 mod head_scanner;
 mod listener;
+mod refusal;
 mod request;
 mod request_bytes_stream;
 mod response;
--- a/src/net/downstream/response.rs
+++ b/src/net/downstream/response.rs
@@ -19,9 +19,8 @@
         /// How long the client should wait before it retries, in microseconds; 0 means no advice.
         retry_after: Micros,
     },
-    /// The node has no memory for the body of the request or of its response. The request was not handed to
-    /// the decision engine. The status is 503.
-    NoBodyMemory {
+    /// The node has no memory for the request. It was not handed to the decision engine. The status is 503.
+    NoMemory {
         /// Whether the request has a body, which was not read.
         is_body_unread: bool,
     },
@@ -52,7 +51,7 @@
     pub fn closes_connection(&self) -> bool {
         match self {
             ClientResponse::Invalid(error) => *error != RequestError::IdInUse,
-            ClientResponse::NoBodyMemory { is_body_unread } => *is_body_unread,
+            ClientResponse::NoMemory { is_body_unread } => *is_body_unread,
             ClientResponse::Served(_)
             | ClientResponse::Rejected { .. }
             | ClientResponse::Failed
@@ -64,7 +63,7 @@
     pub fn into_http(self) -> Response<Full<Bytes>> {
         match self {
             ClientResponse::Served(body) => with_status(StatusCode::OK, body),
-            ClientResponse::Rejected { retry_after: 0 } | ClientResponse::NoBodyMemory { .. } => {
+            ClientResponse::Rejected { retry_after: 0 } | ClientResponse::NoMemory { .. } => {
                 with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
             }
             ClientResponse::Rejected { retry_after } => too_many_requests(retry_after),
--- a/src/net/http_body/memory.rs
+++ b/src/net/http_body/memory.rs
@@ -1,14 +1,13 @@
 //! Bounds the memory that the bodies of all open requests and responses hold together.
 
-use std::cell::Cell;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::memory_shares::MemoryShares;
 use crate::net::http_body::read::MAX_BODY_BYTES;
+use crate::net::rejection_log::RejectionLog;
 
 /// One part in this many of the bodies' memory is kept for responses: a request that got no memory for its
 /// response would hold the memory of its own body in vain.
@@ -16,9 +15,6 @@
 /// The smallest memory for bodies, in bytes. The part kept for responses holds one body of the largest length.
 const MIN_BODY_MEMORY_BYTES: usize = RESPONSE_PARTS * MAX_BODY_BYTES;
 
-/// The shortest time between two log lines about rejected requests.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The memory that the bodies of all open requests and responses may hold together.
 pub struct BodyMemory {
     /// One permit for each byte that no body holds.
@@ -30,29 +26,6 @@
     rejections: RejectionLog,
 }
 
-/// Logs the requests for whose bodies there is no memory, at most one line in each [`LOG_INTERVAL`].
-#[derive(Default)]
-struct RejectionLog {
-    /// The number of requests rejected since the latest log line.
-    unlogged: Cell<u64>,
-    logged_at: Cell<Option<Instant>>,
-}
-
-impl RejectionLog {
-    /// Counts a rejected request, and logs it with those before it unless a line was logged just now.
-    fn add(&self, held_bytes: usize, total_bytes: usize) {
-        self.unlogged.set(self.unlogged.get() + 1);
-        if self.logged_at.get().is_some_and(|logged_at| logged_at.elapsed() < LOG_INTERVAL) {
-            return;
-        }
-        let count = self.unlogged.take();
-        eprintln!(
-            "edge-node: no memory for bodies: {held_bytes} of {total_bytes} bytes held; rejected requests: {count}"
-        );
-        self.logged_at.set(Some(Instant::now()));
-    }
-}
-
 /// A part of the [`BodyMemory`], which returns to it when this is dropped.
 pub struct BodyReservation {
     permit: OwnedSemaphorePermit,
@@ -79,7 +52,7 @@
             free_bytes: Arc::new(Semaphore::new(bytes)),
             kept_for_responses: bytes / RESPONSE_PARTS,
             total_bytes: bytes,
-            rejections: RejectionLog::default(),
+            rejections: RejectionLog::new("bodies", "requests"),
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 //! implements the directory to which `discovery` writes the endpoint lists.
 
 pub mod clock;
+pub mod connection_memory;
 pub mod counter;
 pub mod descriptor_budget;
 pub mod discovery;
@@ -17,5 +18,6 @@
 pub mod http_client;
 mod http_head;
 mod open_requests;
+mod rejection_log;
 pub mod shutdown_schedule;
 pub mod upstream;
--- a/src/net/upstream/idle_connection.rs
+++ b/src/net/upstream/idle_connection.rs
@@ -9,8 +9,8 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::Instant;
 
-use crate::net::descriptor_budget::DescriptorPermit;
 use crate::net::http_client::RestingSocket;
+use crate::net::upstream::endpoint_permit::EndpointPermit;
 use crate::net::upstream::pool::EndpointConnection;
 
 /// A connection without an open request. Dropping it closes it.
@@ -26,7 +26,7 @@
     /// It is being reduced to its socket.
     Reducing,
     /// Its socket.
-    Resting(RestingSocket<DescriptorPermit>),
+    Resting(RestingSocket<EndpointPermit>),
     /// Nothing: it has ended or was taken.
     Ended,
 }
@@ -67,7 +67,7 @@
 
     /// Returns the socket for a further request; `None` if the connection has ended or is still being
     /// reduced to its socket.
-    pub(super) fn into_socket(self) -> Option<RestingSocket<DescriptorPermit>> {
+    pub(super) fn into_socket(self) -> Option<RestingSocket<EndpointPermit>> {
         match self.state.replace(State::Ended) {
             State::Resting(socket) if !socket.has_ended() => Some(socket),
             _ => None,
@@ -85,6 +85,9 @@
 /// Reduces a connection to its socket and closes it when it ends.
 async fn watch(state: Rc<RefCell<State>>, connection: EndpointConnection) {
     let socket = connection.into_resting().await;
+    if let Some(socket) = &socket {
+        socket.permit().rest();
+    }
     state.replace(socket.map_or(State::Ended, State::Resting));
     poll_fn(|context| state.borrow().poll_ended(context)).await;
     state.replace(State::Ended);
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -2,6 +2,7 @@
 //! outcomes, and probes.
 
 mod attempt;
+mod endpoint_permit;
 mod exchange;
 mod idle_connection;
 mod known_endpoints;
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -12,9 +12,11 @@
 use tokio::time::{timeout, Instant};
 
 use crate::decision::EndpointId;
-use crate::net::descriptor_budget::{DescriptorBudget, DescriptorPermit};
+use crate::net::connection_memory::ConnectionMemory;
+use crate::net::descriptor_budget::{DescriptorBudget, MIN_IDLE_BEFORE_EVICTION};
 use crate::net::discovery::endpoints::Endpoint;
 use crate::net::http_client::{HttpConnection, RestingSocket};
+use crate::net::upstream::endpoint_permit::EndpointPermit;
 use crate::net::upstream::idle_connection::IdleConnection;
 use crate::net::upstream::known_endpoints::KnownEndpoints;
 use crate::net::upstream::reuse::ReuseLimit;
@@ -38,13 +40,13 @@
     /// The connection could not be established.
     #[error("could not connect to the endpoint")]
     ConnectFailed(#[source] io::Error),
-    /// No file descriptor is available to this process.
-    #[error("no file descriptor is available")]
+    /// No file descriptor or no memory is available for one more connection.
+    #[error("no file descriptor or memory is available")]
     NoDescriptor,
 }
 
 /// A connection to an endpoint, with its permit.
-pub(super) type EndpointConnection = HttpConnection<DescriptorPermit>;
+pub(super) type EndpointConnection = HttpConnection<EndpointPermit>;
 
 /// The idle connections to one endpoint with a certain address and start time.
 ///
@@ -97,7 +99,7 @@
 
 /// The socket of a connection that was taken out of its pool.
 struct IdleSocket {
-    socket: RestingSocket<DescriptorPermit>,
+    socket: RestingSocket<EndpointPermit>,
     /// How long the connection was idle.
     idle_for: Duration,
 }
@@ -108,6 +110,7 @@
     /// sweep.
     by_endpoint: RefCell<BTreeMap<EndpointId, Rc<EndpointPool>>>,
     budget: Rc<DescriptorBudget>,
+    memory: Rc<ConnectionMemory>,
     /// The idle time at which a connection is closed.
     max_idle: Duration,
     reuse: ReuseLimit,
@@ -115,8 +118,18 @@
 
 impl ConnectionPools {
     /// Creates pools without connections. Idle connections are kept for less than `max_idle`.
-    pub(super) fn new(budget: Rc<DescriptorBudget>, max_idle: Duration) -> Self {
-        ConnectionPools { by_endpoint: RefCell::default(), budget, max_idle, reuse: ReuseLimit::new() }
+    pub(super) fn new(
+        budget: Rc<DescriptorBudget>,
+        memory: Rc<ConnectionMemory>,
+        max_idle: Duration,
+    ) -> Self {
+        ConnectionPools {
+            by_endpoint: RefCell::default(),
+            budget,
+            memory,
+            max_idle,
+            reuse: ReuseLimit::new(),
+        }
     }
 
     /// Closes idle connections that must not be reused and drops empty pools. Must be called once a second,
@@ -205,10 +218,25 @@
     /// `None` if no connection can be reused.
     pub(super) async fn take_idle(&self, pool: &Rc<EndpointPool>) -> Option<PooledConnection> {
         let IdleSocket { socket, idle_for } = self.take_idle_socket(pool)?;
+        if !self.try_resume(socket.permit()) {
+            return None;
+        }
         let connection = HttpConnection::resume(socket).await.ok()?;
         Some(PooledConnection { connection, pool: pool.clone(), idle_for: Some(idle_for) })
     }
 
+    /// Takes the memory for a request on a resting connection, and closes others if there is too little.
+    fn try_resume(&self, permit: &EndpointPermit) -> bool {
+        loop {
+            if permit.try_resume() {
+                return true;
+            }
+            if !self.close_oldest_idle() {
+                return false;
+            }
+        }
+    }
+
     fn take_idle_socket(&self, pool: &EndpointPool) -> Option<IdleSocket> {
         let mut idle = pool.idle.borrow_mut();
         let may_be_reused = |connection: &IdleConnection| connection.idle_for() >= MIN_IDLE_BEFORE_REUSE;
@@ -240,15 +268,42 @@
             Ok(Ok(connection)) => Ok(PooledConnection { connection, pool: pool.clone(), idle_for: None }),
             Ok(Err(error)) if is_out_of_descriptors(&error) => Err(AcquireError::NoDescriptor),
             Ok(Err(error)) => Err(AcquireError::ConnectFailed(error)),
-            Err(_) if self.budget.is_exhausted() => Err(AcquireError::NoDescriptor),
+            Err(_) if !self.has_room() => Err(AcquireError::NoDescriptor),
             Err(_) => Err(AcquireError::ConnectTimedOut),
         }
     }
 
+    /// Returns whether there are a descriptor and memory for one more connection.
+    fn has_room(&self) -> bool {
+        !self.budget.is_exhausted() && self.memory.has_room_for_endpoint()
+    }
+
     /// Waits for a permit for one more connection. If none is free, idle connections are closed to free one.
-    async fn acquire_permit(&self) -> DescriptorPermit {
-        let close_one = || self.close_oldest_idle() || self.budget.evict_downstream();
-        self.budget.acquire_or_evict(|| self.budget.try_acquire_upstream(), close_one).await
+    async fn acquire_permit(&self) -> EndpointPermit {
+        let try_acquire = || {
+            let memory = self.memory.try_reserve_for_endpoint()?;
+            let descriptor = self.budget.try_acquire_upstream()?;
+            Some(EndpointPermit::new(memory, descriptor))
+        };
+        self.budget.acquire_or_evict(try_acquire, || self.make_room()).await
+    }
+
+    /// Closes idle connections to endpoints until there is room for one more connection, or asks a client
+    /// connection to close if there are none. Returns `false` if no connection is closed.
+    fn make_room(&self) -> bool {
+        let mut has_closed = false;
+        while !self.has_room() && self.close_oldest_idle() {
+            has_closed = true;
+        }
+        has_closed || self.evict_downstream()
+    }
+
+    fn evict_downstream(&self) -> bool {
+        if self.budget.is_exhausted() {
+            self.budget.evict_downstream()
+        } else {
+            self.budget.evict_downstream_idle_for(MIN_IDLE_BEFORE_EVICTION)
+        }
     }
 
     /// Adds a connection to its pool after a response was read completely.
--- a/src/net/upstream/upstreams.rs
+++ b/src/net/upstream/upstreams.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::decision::{EndpointId, Micros};
+use crate::net::connection_memory::ConnectionMemory;
 use crate::net::descriptor_budget::DescriptorBudget;
 use crate::net::discovery::directory::EndpointDirectory;
 use crate::net::discovery::endpoints::{AppliedEntries, Endpoints};
@@ -51,13 +52,18 @@
     /// from a request that ran.
     pub fn new(
         budget: Rc<DescriptorBudget>,
+        connection_memory: Rc<ConnectionMemory>,
         body_memory: Rc<BodyMemory>,
         connect_timeout: Micros,
         endpoint_idle_timeout: Micros,
     ) -> Rc<Self> {
         let upstreams = Rc::new(Upstreams {
             known: RefCell::default(),
-            pools: ConnectionPools::new(budget, Duration::from_micros(endpoint_idle_timeout / 2)),
+            pools: ConnectionPools::new(
+                budget,
+                connection_memory,
+                Duration::from_micros(endpoint_idle_timeout / 2),
+            ),
             body_memory,
             connect_timeout: Duration::from_micros(connect_timeout),
         });
--- a/tests/closing_connections.rs
+++ b/tests/closing_connections.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 
 use edge_node::decision::{DecisionEngine, Settings};
+use edge_node::net::connection_memory::ConnectionMemory;
 use edge_node::net::counter::CounterClient;
 use edge_node::net::descriptor_budget::DescriptorBudget;
 use edge_node::net::discovery::labels::PlacementLabels;
@@ -42,14 +43,21 @@
         let settings = Settings::from(document);
         let budget = DescriptorBudget::new(64);
         let body_memory = Rc::new(BodyMemory::new(MEMORY_LIMIT));
-        let upstreams = Upstreams::new(budget.clone(), body_memory.clone(), 250_000, 10_000_000);
+        let connection_memory = ConnectionMemory::new(MEMORY_LIMIT);
+        let upstreams = Upstreams::new(
+            budget.clone(),
+            connection_memory.clone(),
+            body_memory.clone(),
+            250_000,
+            10_000_000,
+        );
         let labels = PlacementLabels::new(Vec::new(), Vec::new());
         let schedule = WatchSchedule::new(1, settings.node_count, false);
         let discovery = Discovery::new(unreachable_address(), upstreams.clone(), labels, schedule);
         let counter = CounterClient::new(None, settings.counter.timeout);
         let event_loop =
             EventLoop::new(DecisionEngine::new(1, settings), 4, upstreams, counter, discovery.clone());
-        let downstream = DownstreamServer::new(event_loop, rules, budget, body_memory);
+        let downstream = DownstreamServer::new(event_loop, rules, budget, connection_memory, body_memory);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port should be bound");
         let address = listener.local_addr().expect("the listener should have a local address");
         spawn_local(downstream.clone().accept(listener, async {}));
--- a/tests/endpoint_lists/node.rs
+++ b/tests/endpoint_lists/node.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use edge_node::decision::{DecisionEngine, Outcome, Settings};
+use edge_node::net::connection_memory::ConnectionMemory;
 use edge_node::net::counter::CounterClient;
 use edge_node::net::descriptor_budget::DescriptorBudget;
 use edge_node::net::discovery::directory::EndpointDirectory;
@@ -53,7 +54,9 @@
         let settings = Settings::from(document);
         let schedule = WatchSchedule::new(1, settings.node_count, false);
         let body_memory = Rc::new(BodyMemory::new(MEMORY_LIMIT));
-        let upstreams = Upstreams::new(DescriptorBudget::new(64), body_memory, 250_000, 10_000_000);
+        let connection_memory = ConnectionMemory::new(MEMORY_LIMIT);
+        let upstreams =
+            Upstreams::new(DescriptorBudget::new(64), connection_memory, body_memory, 250_000, 10_000_000);
         let discovery = Discovery::new(agent.address, upstreams.clone(), labels(), schedule);
         let counter = CounterClient::new(None, settings.counter.timeout);
         let engine = DecisionEngine::new(1, settings);
