--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -11,6 +11,7 @@
 mod edge_process;
 mod endpoint;
 mod http;
+pub mod in_process;
 mod kernel;
 mod setups;
 mod unused_ports;
