Reject requests behind which so much is unread that a close would not be seen

Cause: the end of the stream arrives only behind the unread bytes, for which the kernel has no room, so the node began the next request before it could know.

Change: a request behind which more than 60 KiB are unread gets 503 and a close.

--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -107,7 +107,7 @@
         }
         let mut response = tokio::select! {
             biased;
-            response = self.handler.handle(request, framing, &self.state) => response,
+            response = self.handler.handle(request, framing, &self.state, &self.stream) => response,
             () = socket::peer_closed(&self.stream) => {
                 self.state.abort();
                 // The abort drops the HTTP connection and this future with it, so the future never completes.
--- a/src/net/downstream/handler.rs
+++ b/src/net/downstream/handler.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
+use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
 use crate::decision::{NewRequest, RequestId};
@@ -18,6 +19,7 @@
 use crate::net::downstream::framing::BodyFraming;
 use crate::net::downstream::request::{RequestError, RequestRules};
 use crate::net::downstream::response::{close_connection, ClientResponse};
+use crate::net::downstream::socket;
 use crate::net::event_loop::EventLoop;
 use crate::net::http_body::{self, BodyError, BodyMemory, BodyReservation};
 use crate::net::upstream::ForwardedRequest;
@@ -50,7 +52,8 @@
         RequestHandler { event_loop, rules, connection_memory, body_memory }
     }
 
-    /// Answers one request, and records in `connection` when the request has arrived in full.
+    /// Answers one request of the client at `stream`, and records in `connection` when the request has arrived
+    /// in full.
     ///
     /// Dropping the future before it completes reports to the event loop that the client has disconnected.
     pub async fn handle(
@@ -58,8 +61,9 @@
         request: Request<Incoming>,
         framing: BodyFraming,
         connection: &ConnectionState,
+        stream: &TcpStream,
     ) -> Response<Full<Bytes>> {
-        let client_response = match self.serve(request, framing, connection).await {
+        let client_response = match self.serve(request, framing, connection, stream).await {
             Ok(client_response) => client_response,
             Err(error) => ClientResponse::Invalid(error),
         };
@@ -80,6 +84,7 @@
         request: Request<Incoming>,
         framing: BodyFraming,
         connection: &ConnectionState,
+        stream: &TcpStream,
     ) -> Result<ClientResponse, RequestError> {
         let received_at = self.event_loop.clock.now();
         let (head, body) = request.into_parts();
@@ -105,6 +110,9 @@
         if forward.method != Method::GET && connection.body_may_be_truncated() {
             return Err(RequestError::BytesAfterBody);
         }
+        if socket::may_hide_disconnect(stream) {
+            return Ok(ClientResponse::TooMuchUnread);
+        }
         self.final_response(new_request, forward, response_due).await
     }
 
--- a/src/net/downstream/response.rs
+++ b/src/net/downstream/response.rs
@@ -24,6 +24,9 @@
         /// Whether the request has a body, which was not read.
         is_body_unread: bool,
     },
+    /// The client has sent so much behind the request that the node could not tell if it disconnected. The request
+    /// was not handed to the decision engine. The status is 503.
+    TooMuchUnread,
     /// The request failed, but an attempt may have run. The status is 502.
     Failed,
     /// There was no final response in time. The status is 504.
@@ -47,11 +50,13 @@
     ///
     /// It closes after an invalid request, because the bytes after it may be another request that its sender
     /// has hidden there. A duplicate id does not close the connection, since the request is otherwise valid. It
-    /// also closes if the body was not read: the next request would only come after it.
+    /// also closes if the body was not read: the next request would only come after it; and if too much was
+    /// unread, since each of the requests behind it would be rejected.
     pub fn closes_connection(&self) -> bool {
         match self {
             ClientResponse::Invalid(error) => *error != RequestError::IdInUse,
             ClientResponse::NoMemory { is_body_unread } => *is_body_unread,
+            ClientResponse::TooMuchUnread => true,
             ClientResponse::Served(_)
             | ClientResponse::Rejected { .. }
             | ClientResponse::Failed
@@ -63,9 +68,9 @@
     pub fn into_http(self) -> Response<Full<Bytes>> {
         match self {
             ClientResponse::Served(body) => with_status(StatusCode::OK, body),
-            ClientResponse::Rejected { retry_after: 0 } | ClientResponse::NoMemory { .. } => {
-                with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
-            }
+            ClientResponse::Rejected { retry_after: 0 }
+            | ClientResponse::NoMemory { .. }
+            | ClientResponse::TooMuchUnread => with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
             ClientResponse::Rejected { retry_after } => too_many_requests(retry_after),
             ClientResponse::Failed => with_status(StatusCode::BAD_GATEWAY, Bytes::new()),
             ClientResponse::TimedOut => with_status(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
--- a/src/net/downstream/socket.rs
+++ b/src/net/downstream/socket.rs
@@ -12,6 +12,9 @@
 /// The interval at which the node checks whether a client has disconnected that has sent bytes after the
 /// request in progress. No attempt may start later than 0.1 s after its client has disconnected.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How many bytes may be unread behind a request. The receive buffer of a connection has room for a little more
+/// when it is new.
+const MAX_UNREAD_BYTES: usize = 60 * 1024;
 /// How long the node reads and discards bytes after the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 /// How many bytes the node reads and discards after the last response, at most.
@@ -48,6 +51,13 @@
     SockRef::from(stream).peek(&mut byte).is_ok_and(|count| count > 0)
 }
 
+/// Returns whether so much of what the client has sent is unread that it could have disconnected without the
+/// node knowing: the end of the stream arrives only behind those bytes, for which the kernel has no room.
+pub fn may_hide_disconnect(stream: &TcpStream) -> bool {
+    let mut bytes = [MaybeUninit::uninit(); MAX_UNREAD_BYTES + 1];
+    SockRef::from(stream).peek(&mut bytes).is_ok_and(|count| count > MAX_UNREAD_BYTES)
+}
+
 /// Reads and discards the unread bytes of a socket that is about to be closed, for `LINGER_TIMEOUT` and
 /// `LINGER_BYTES` at most. The kernel resets a connection that is closed with unread bytes, and the last
 /// response is lost if it is still being transmitted.
--- a/tests/client_disconnect.rs
+++ b/tests/client_disconnect.rs
@@ -7,13 +7,15 @@
 mod fakes;
 
 use std::array::from_fn;
+use std::io::{ErrorKind, Read, Write};
 use std::mem::swap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use fakes::{
-    active, endpoint_entry, next_request_at_any, paid_request, request, Client, EdgeProcess, FakeCounter,
-    FakeDiscovery, FakeEndpoint, NodeConfiguration, ReceivedRequest, RequestSpec, TEST_TIMEOUT,
+    active, endpoint_entry, next_request_at_any, one_endpoint, paid_request, request, Client, EdgeProcess,
+    FakeCounter, FakeDiscovery, FakeEndpoint, NodeConfiguration, OneEndpoint, ReceivedRequest, RequestSpec,
+    TEST_TIMEOUT,
 };
 use tokio::net::TcpSocket;
 
@@ -314,3 +316,76 @@
     drop(edge);
     first_endpoint.assert_no_request_until_node_ended();
 }
+
+/// Sends a request that reaches its endpoint, and closes the client's connection. Then the endpoint responds, and
+/// the node reads the response.
+fn run_for_client_that_leaves(endpoint: &FakeEndpoint, edge: &EdgeProcess, request: &RequestSpec) {
+    let mut client = edge.connect();
+    client.send(request);
+    let attempt = endpoint.next_request();
+    disconnect(client);
+    attempt.respond_ok("not awaited");
+    edge.connect().wait_until_node_has_read();
+}
+
+/// Guards against an id that runs twice because it comes again after its client has left: the node knew of it only
+/// while the attempt was in flight.
+#[test]
+fn id_that_has_run_for_a_client_that_left_is_refused_unless_its_class_is_safe() {
+    let OneEndpoint { endpoint, edge, .. } = one_endpoint();
+    for class in ["post", "slip"] {
+        let request = request(class, &format!("{class}-1"));
+        run_for_client_that_leaves(&endpoint, &edge, &request);
+        assert_eq!(send_again(&edge, &request).response().status(), 409);
+    }
+    endpoint.assert_no_request();
+    let safe_request = request("lookup", "lookup-1");
+    run_for_client_that_leaves(&endpoint, &edge, &safe_request);
+    let mut client = send_again(&edge, &safe_request);
+    endpoint.next_request().respond_ok("ok");
+    client.assert_ok("ok");
+}
+
+/// The length of the requests that a client sends at once, in bytes: more than the receive buffer of the node has
+/// room for.
+const UNREAD_BYTES: usize = 400_000;
+
+/// Guards against requests that are sent on after their client has closed its connection: the node could not know
+/// of the close, since the end of the stream arrives only behind the unread requests.
+#[test]
+fn no_further_request_is_sent_on_once_a_client_with_much_unread_has_left() {
+    let OneEndpoint { endpoint, edge, .. } = one_endpoint();
+    let mut stream = TcpStream::connect(edge.address).expect("failed to connect to the node");
+    let socket = socket2::SockRef::from(&stream);
+    socket.set_send_buffer_size(2 * UNREAD_BYTES).expect("failed to set the size of the send buffer");
+    stream.write_all(request("lookup", "first").text().as_bytes()).expect("failed to write");
+    let attempt = endpoint.next_request();
+    let mut further = String::new();
+    for number in 0.. {
+        further.push_str(&request("lookup", &format!("further-{number}")).text());
+        if further.len() >= UNREAD_BYTES {
+            break;
+        }
+    }
+    stream.write_all(further.as_bytes()).expect("failed to write");
+    stream.shutdown(Shutdown::Write).expect("failed to close the sending side");
+    attempt.respond_ok("ok");
+    // The first response, and one rejection at most.
+    stream.set_read_timeout(Some(Duration::from_millis(10))).expect("failed to set the read timeout");
+    let until = Instant::now() + TEST_TIMEOUT;
+    while !has_ended(&mut stream) {
+        endpoint.assert_no_request();
+        assert!(Instant::now() < until, "the node did not close the connection");
+    }
+    edge.connect().wait_until_node_has_read();
+    endpoint.assert_no_request();
+}
+
+/// Reads what has arrived and returns whether the connection has ended.
+fn has_ended(stream: &mut TcpStream) -> bool {
+    let waits = [ErrorKind::WouldBlock, ErrorKind::Interrupted];
+    match stream.read(&mut [0; 4096]) {
+        Ok(count) => count == 0,
+        Err(error) => !waits.contains(&error.kind()),
+    }
+}
