Do not repeat a keyed request at the address that reset its connection

Callers saw: a keyed request ran in two deduplication groups after a process of another group had come up at the address of the endpoint whose process ended in the middle of the request.

Cause: the retry goes to the endpoint of the failed attempt if there is no other of its group, and nothing says that the same process still listens there.

Change: after a reset, a keyed request that is bound to a zone or a cell is not sent there again.

The new test failed without the change.

--- a/src/decision/attempts/completion.rs
+++ b/src/decision/attempts/completion.rs
@@ -2,7 +2,9 @@
 
 use super::pending_request::Attempt;
 use crate::decision::balancer::{EndedAttemptSample, Selection};
-use crate::decision::{Action, DecisionEngine, EndedAttempt, EndpointId, Outcome};
+use crate::decision::{
+    Action, DecisionEngine, DeduplicationScope, EndedAttempt, EndpointId, Idempotency, Outcome, RequestClass,
+};
 
 impl DecisionEngine {
     /// Handles the end of an attempt. It is recorded for the request, then for the account, the balancer and
@@ -30,7 +32,8 @@
     }
 
     /// Selects an endpoint for a retry. The endpoint of the failed attempt is selected only if there is no
-    /// other. Returns `None` if the request may not be retried or no endpoint can take it.
+    /// other, and not at all if the retry could reach another deduplication group there. Returns `None` if
+    /// the request may not be retried or no endpoint can take it.
     ///
     /// A request whose attempt was not sent is not retried, since the node itself could not send it or was
     /// not allowed to.
@@ -39,10 +42,27 @@
         if end.outcome == Outcome::NotSent || !self.retry_policy().allows_retry(pending) {
             return None;
         }
-        self.select_endpoint(&end.request, Some(failed)).or_else(|| self.select_endpoint(&end.request, None))
+        let class = &self.settings.classes[pending.request.class];
+        let may_select_failed = !may_reach_other_group(class, end.outcome);
+        let selection = self.select_endpoint(&end.request, Some(failed));
+        if selection.is_none() && may_select_failed {
+            return self.select_endpoint(&end.request, None);
+        }
+        selection
     }
 }
 
+/// Returns whether a retry at the endpoint of an attempt with this outcome may reach another deduplication
+/// group.
+///
+/// If the connection of the attempt broke, the process of the endpoint may have ended, and another one may
+/// listen at its address before discovery tells so. Endpoints of another group don't drop the repeat.
+fn may_reach_other_group(class: &RequestClass, outcome: Outcome) -> bool {
+    outcome == Outcome::Reset
+        && class.idempotency == Idempotency::Keyed
+        && class.deduplication_scope != DeduplicationScope::All
+}
+
 fn ended_attempt_sample(
     attempt: &Attempt,
     end: &EndedAttempt,
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -193,3 +193,30 @@
     node.update_endpoint(endpoint_entry(9, EndpointState::Active, 0));
     assert_eq!(started_attempts(&node.fire_timer()).len(), 1);
 }
+
+/// Guards against a keyed request that runs in two deduplication groups: a new process of another group came up
+/// at the address of the endpoint that had reset the connection, and was taken for it.
+#[test]
+fn keyed_request_is_not_sent_again_to_the_endpoint_that_reset_its_connection() {
+    // Endpoints 0 and 1 are in different cells, and each is the only one of its cell.
+    let mut node = NodeUnderTest::new(settings_without_quota(), 2);
+    let attempt = node.start_attempt(KEYED);
+    let actions = node.end_attempt(&attempt, 0, Outcome::Reset);
+    assert!(started_attempts(&actions).is_empty() && has_failure(&actions));
+    let attempt = node.start_attempt(KEYED);
+    let actions = node.end_attempt(&attempt, 0, Outcome::Error);
+    let retries = started_attempts(&actions);
+    assert_eq!(retries.len(), 1, "an endpoint that responds is the one that discovery lists");
+    assert_eq!(retries[0].endpoint, attempt.endpoint);
+}
+
+/// A repeat is dropped wherever it runs if all endpoints form one deduplication group.
+#[test]
+fn keyed_request_of_one_group_may_be_sent_again_to_the_endpoint_that_reset_its_connection() {
+    let mut settings = settings_without_quota();
+    settings.classes[KEYED].deduplication_scope = DeduplicationScope::All;
+    let mut node = NodeUnderTest::new(settings, 1);
+    let attempt = node.start_attempt(KEYED);
+    let retries = started_attempts(&node.end_attempt(&attempt, 0, Outcome::Reset));
+    assert_eq!(retries.len(), 1);
+}
