Name what bounds a read and a missing connection, and wrap comments

Cause: the last read of the change: NoDescriptor also stands for missing memory, two constants differed by 'at once', and comments ran over the width. Change: names and comments only.

--- a/src/memory_shares.rs
+++ b/src/memory_shares.rs
@@ -10,8 +10,8 @@
 const CONNECTION_PARTS: usize = 7;
 /// The parts for the state of accounts.
 const ACCOUNT_PARTS: usize = 1;
-/// What the state of one account takes at most, in bytes: its entries in ordered maps that are two thirds
-/// full, and the queues of its waiting requests and of its deferrals.
+/// What the state of one account is counted with, in bytes: its entries in ordered maps that are two thirds
+/// full, and short queues of its waiting requests and of its deferrals.
 const ACCOUNT_BYTES: usize = 768;
 
 /// The memory that each kind of holder may take, in bytes.
--- a/src/net/departed_requests.rs
+++ b/src/net/departed_requests.rs
@@ -1,5 +1,5 @@
-//! Remembers the ids of requests whose client has left although they may have run, so that they do not run once
-//! more when the same id comes again.
+//! Remembers the ids of requests whose client has left although they may have run, so that they do not run
+//! once more when the same id comes again.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -8,8 +8,8 @@
 /// The largest number of ids that are remembered. Beyond it, the id that was added first is forgotten.
 const MAX_IDS: usize = 1024;
 
-/// The ids of requests whose client has left and that may have run. Each is remembered until the deadline of its
-/// request.
+/// The ids of requests whose client has left and that may have run. Each is remembered until the deadline of
+/// its request.
 #[derive(Default)]
 pub struct DepartedRequests {
     /// The deadlines, in microseconds of Unix time.
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -72,9 +72,8 @@
 }
 
 impl DownstreamConnection {
-    /// Serves the connection until it is closed, then returns `permit`. After
-    /// `close_idle_generation` has changed, the connection is closed as soon as it is idle; the value itself
-    /// has no meaning.
+    /// Serves the connection until it is closed, then returns `permit`. After `close_idle_generation` has
+    /// changed, the connection is closed as soon as it is idle; the value itself has no meaning.
     pub async fn run(self, permit: ClientPermit, close_idle_generation: watch::Receiver<u32>) {
         let _permit = permit;
         let _registration = self.registry.register(&self.state);
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -131,8 +131,8 @@
         self.budget.acquire_or_evict(|| self.budget.try_acquire_downstream(), close_one).await
     }
 
-    /// Asks a client connection to close. While there is no memory for a further one, a descriptor does not help
-    /// a new client, so those that go on sending are spared.
+    /// Asks a client connection to close. While there is no memory for a further one, a descriptor does not
+    /// help a new client, so those that go on sending are spared.
     fn evict_downstream(&self) -> bool {
         if self.connection_memory.has_room_for_client() {
             self.budget.evict_downstream()
@@ -141,8 +141,9 @@
         }
     }
 
-    /// Accepts the connections in the backlog, even beyond the descriptor budget, but not beyond the memory. Their clients have
-    /// connected and may have sent a request, and closing the listener first would reset them.
+    /// Accepts the connections in the backlog, even beyond the descriptor budget, but not beyond the memory.
+    /// Their clients have connected and may have sent a request, and closing the listener first would reset
+    /// them.
     async fn accept_backlog(self: &Rc<Self>, listener: &TcpListener) {
         // The runtime learns of the connections that have arrived when the task yields to it.
         tokio::task::yield_now().await;
--- a/src/net/downstream/pipeline.rs
+++ b/src/net/downstream/pipeline.rs
@@ -13,7 +13,7 @@
 
 /// How many bytes may be read at once beyond the body of the request in progress. Most heads are shorter. What
 /// is read ahead is held twice until its request is started: here and in the buffer of the connection.
-const MAX_READ_AHEAD_AT_ONCE: u64 = 4 * 1024;
+const MAX_READ_BYTES_BEHIND_BODY: u64 = 4 * 1024;
 /// The largest number of bytes kept behind a head that was read ahead. Bytes beyond it are not kept: with that
 /// many, a further request has begun in any case.
 const MAX_READ_AHEAD_BYTES: usize = 128 * 1024;
@@ -56,7 +56,7 @@
     /// is unknown, since no further request is served then.
     pub fn max_read_bytes(&self) -> u64 {
         self.body_remaining
-            .map_or(u64::MAX, |remaining| MAX_READ_AHEAD_AT_ONCE.saturating_add(remaining as u64))
+            .map_or(u64::MAX, |remaining| MAX_READ_BYTES_BEHIND_BODY.saturating_add(remaining as u64))
     }
 
     /// Records bytes that were read from the connection.
--- a/src/net/downstream/response.rs
+++ b/src/net/downstream/response.rs
@@ -24,8 +24,8 @@
         /// Whether the request has a body, which was not read.
         is_body_unread: bool,
     },
-    /// The client has sent so much behind the request that the node could not tell if it disconnected. The request
-    /// was not handed to the decision engine. The status is 503.
+    /// The client has sent so much behind the request that the node could not tell if it disconnected. The
+    /// request was not handed to the decision engine. The status is 503.
     TooMuchUnread,
     /// The request failed, but an attempt may have run. The status is 502.
     Failed,
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -61,7 +61,7 @@
             let acquire = self.acquire(endpoint, choice, deadline - Instant::now());
             let connection = match timeout_at(deadline, acquire).await {
                 Ok(Ok(connection)) => connection,
-                Ok(Err(AcquireError::NoDescriptor)) => return AttemptOutcome::without_body(Outcome::NotSent),
+                Ok(Err(AcquireError::NoCapacity)) => return AttemptOutcome::without_body(Outcome::NotSent),
                 // Nothing was written, so the request did not run.
                 Ok(Err(_)) | Err(_) => return AttemptOutcome::without_body(Outcome::ConnectFailed),
             };
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -42,7 +42,7 @@
     ConnectFailed(#[source] io::Error),
     /// No file descriptor or no memory is available for one more connection.
     #[error("no file descriptor or memory is available")]
-    NoDescriptor,
+    NoCapacity,
 }
 
 /// A connection to an endpoint, with its permit.
@@ -237,6 +237,7 @@
         }
     }
 
+    /// Takes the socket of the connection that [`take_idle`](Self::take_idle) reuses out of the pool.
     fn take_idle_socket(&self, pool: &EndpointPool) -> Option<IdleSocket> {
         let mut idle = pool.idle.borrow_mut();
         let may_be_reused = |connection: &IdleConnection| connection.idle_for() >= MIN_IDLE_BEFORE_REUSE;
@@ -254,7 +255,7 @@
     /// Opens a connection within the descriptor budget.
     ///
     /// # Errors
-    /// If no descriptor is available, or the connection is not established within `connect_timeout`.
+    /// If no descriptor or no memory is available, or the connection is not established within `connect_timeout`.
     pub(super) async fn connect(
         &self,
         pool: &Rc<EndpointPool>,
@@ -266,9 +267,9 @@
         };
         match timeout(connect_timeout, connect).await {
             Ok(Ok(connection)) => Ok(PooledConnection { connection, pool: pool.clone(), idle_for: None }),
-            Ok(Err(error)) if is_out_of_descriptors(&error) => Err(AcquireError::NoDescriptor),
+            Ok(Err(error)) if is_out_of_descriptors(&error) => Err(AcquireError::NoCapacity),
             Ok(Err(error)) => Err(AcquireError::ConnectFailed(error)),
-            Err(_) if !self.has_room() => Err(AcquireError::NoDescriptor),
+            Err(_) if !self.has_room() => Err(AcquireError::NoCapacity),
             Err(_) => Err(AcquireError::ConnectTimedOut),
         }
     }
--- a/tests/connection_memory.rs
+++ b/tests/connection_memory.rs
@@ -4,8 +4,8 @@
     ConnectionMemory, CLIENT_CONNECTION_BYTES, ENDPOINT_CONNECTION_BYTES, RESTING_CONNECTION_BYTES,
 };
 
-/// A limit on memory, in bytes. Connections get seven sixteenths of it, which is what [`MAX_ATTEMPTS`] connections
-/// to endpoints take.
+/// A limit on memory, in bytes. Connections get seven sixteenths of it, which is what [`MAX_ATTEMPTS`]
+/// connections to endpoints take.
 const MEMORY_LIMIT: usize = 6_553_600;
 /// How many connections to endpoints may have an open request if there are no clients.
 const MAX_ATTEMPTS: usize = 100;
