Say which call to discovery failed, when and at which stage

Change: the line names the call, the time and what had arrived; the first success after failures is logged with their count. No decision or time is changed.

--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -3,21 +3,36 @@
 use std::error::Error;
 use std::fmt;
 use std::io;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use tokio::task::JoinError;
 
+use crate::net::discovery::list_call::{CallStage, ListCall};
 use crate::net::http_client::SendError;
 
 /// Maximum length of a list in bytes: twice that of an indented list of 46,000 endpoints with long names.
 pub const MAX_LIST_BYTES: usize = 32 * 1024 * 1024;
 
+/// A call to discovery that failed.
+#[derive(Debug, thiserror::Error)]
+#[error("{call} after {} ms", elapsed.as_millis())]
+pub(super) struct CallError {
+    /// The call.
+    pub(super) call: ListCall,
+    /// The time from the call's begin to its failure.
+    pub(super) elapsed: Duration,
+    /// Why the call failed.
+    #[source]
+    pub(super) source: DiscoveryError,
+}
+
 /// The reason for which a call to discovery failed.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum DiscoveryError {
     /// No response, or no further part of it, arrived before the timeout.
-    #[error("no complete response before the timeout")]
-    TimedOut,
+    #[error("no complete response before the timeout ({0})")]
+    TimedOut(CallStage),
     /// The connection could not be established.
     #[error("cannot connect")]
     Connect(#[source] io::Error),
--- a/src/net/discovery/list_client.rs
+++ b/src/net/discovery/list_client.rs
@@ -12,7 +12,8 @@
 use tokio::time::Instant;
 
 use crate::net::discovery::apply::ReceivedList;
-use crate::net::discovery::error::{DiscoveryError, MAX_LIST_BYTES};
+use crate::net::discovery::error::{CallError, DiscoveryError, MAX_LIST_BYTES};
+use crate::net::discovery::list_call::{CallStage, ListCall};
 use crate::net::discovery::timeout::{finish_by, CallTimeout};
 use crate::net::http_client::HttpConnection;
 
@@ -39,13 +40,25 @@
     pub(super) async fn call(
         &self,
         connection: &mut Option<HttpConnection>,
-        path: &str,
+        call: ListCall,
         wait: Duration,
+    ) -> Result<ReceivedList, CallError> {
+        let began_at = Instant::now();
+        let result = self.receive(connection, call, CallTimeout::new(began_at, wait)).await;
+        result.map_err(|source| CallError { call, elapsed: began_at.elapsed(), source })
+    }
+
+    async fn receive(
+        &self,
+        connection: &mut Option<HttpConnection>,
+        call: ListCall,
+        timeout: CallTimeout,
     ) -> Result<ReceivedList, DiscoveryError> {
-        let timeout = CallTimeout::new(Instant::now(), wait);
-        let send = self.send(connection.take(), path);
-        let sent = finish_by(timeout.deadline(), send).await.ok_or(DiscoveryError::TimedOut)?;
-        let head = sent?;
+        let stage = Cell::default();
+        let path = call.path();
+        let send = self.send(connection.take(), &path, &stage);
+        let sent = finish_by(timeout.deadline(), send).await;
+        let head = sent.ok_or_else(|| DiscoveryError::TimedOut(stage.get()))??;
         let status = head.response.status();
         let text = read_text(head.response.into_body(), timeout).await?;
         if status != StatusCode::OK {
@@ -62,7 +75,12 @@
     }
 
     /// Sends a request, on the kept connection if it is open, and returns the head of its response.
-    async fn send(&self, kept: Option<HttpConnection>, path: &str) -> Result<ResponseHead, DiscoveryError> {
+    async fn send(
+        &self,
+        kept: Option<HttpConnection>,
+        path: &str,
+        stage: &Cell<CallStage>,
+    ) -> Result<ResponseHead, DiscoveryError> {
         let mut connection = match kept.filter(HttpConnection::is_open) {
             Some(connection) => connection,
             None => HttpConnection::open(self.address.get(), ()).await.map_err(DiscoveryError::Connect)?,
@@ -71,6 +89,7 @@
             .header(HOST, self.address.get().to_string())
             .body(Full::<Bytes>::default())
             .map_err(DiscoveryError::InvalidRequest)?;
+        stage.set(CallStage::AwaitingResponse);
         let response = connection.send(request).await.map_err(DiscoveryError::Send)?;
         Ok(ResponseHead { connection, response })
     }
@@ -85,7 +104,10 @@
     }
     let mut text = Vec::with_capacity(announced_bytes);
     let mut deadline = timeout.deadline();
-    while let Some(frame) = finish_by(deadline, body.frame()).await.ok_or(DiscoveryError::TimedOut)? {
+    loop {
+        let next = finish_by(deadline, body.frame()).await;
+        let next = next.ok_or(DiscoveryError::TimedOut(CallStage::ReadingBody(text.len())))?;
+        let Some(frame) = next else { return Ok(text) };
         let frame = frame.map_err(DiscoveryError::Body)?;
         let Ok(data) = frame.into_data() else { continue };
         if text.len() + data.len() > MAX_LIST_BYTES {
@@ -94,5 +116,4 @@
         text.extend_from_slice(&data);
         deadline = timeout.deadline_after_bytes(Instant::now());
     }
-    Ok(text)
 }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -17,6 +17,7 @@
 pub mod endpoints;
 mod error;
 pub mod labels;
+pub mod list_call;
 mod list_client;
 pub mod parser;
 pub mod schedule;
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -12,17 +12,16 @@
 use crate::decision::{EndpointUpdateKind, Event};
 use crate::net::discovery::apply::{ApplyOutcome, ListApplier, ReceivedList};
 use crate::net::discovery::directory::EndpointDirectory;
-use crate::net::discovery::error::{DiscoveryError, ErrorChain};
+use crate::net::discovery::error::{CallError, DiscoveryError, ErrorChain};
 use crate::net::discovery::labels::PlacementLabels;
+use crate::net::discovery::list_call::ListCall;
 use crate::net::discovery::list_client::ListClient;
 use crate::net::discovery::parser::EndpointList;
 use crate::net::discovery::schedule::WatchSchedule;
-use crate::net::discovery::timeout::{FETCH_TIMEOUT, FIRST_CALL_TIMEOUT, WATCH_TIMEOUT, WATCH_WAIT_MS};
+use crate::net::discovery::timeout::{FETCH_TIMEOUT, FIRST_CALL_TIMEOUT, WATCH_TIMEOUT};
 use crate::net::event_sink::EventSink;
 use crate::net::http_client::HttpConnection;
 
-/// The path at which discovery serves the endpoint list.
-const LIST_PATH: &str = "/discovery/hosts";
 /// The pause after a call that returned in less than this time without a change. Without it, a discovery that
 /// responds to long polls at once would keep the core busy.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(20);
@@ -108,14 +107,17 @@
     /// Fetches the full list and applies it, unless discovery has moved since the count of moves was
     /// `move_count` or the watch has applied a newer list meanwhile. After a move the watch requests the full
     /// list of the new address in any case.
-    async fn fetch_once(&self, events: &Rc<dyn EventSink>, move_count: u64) -> Result<(), DiscoveryError> {
-        let received = self.client.call(&mut None, LIST_PATH, FETCH_TIMEOUT).await?;
+    async fn fetch_once(&self, events: &Rc<dyn EventSink>, move_count: u64) -> Result<(), CallError> {
+        let call = ListCall::FullList;
+        let began_at = Instant::now();
+        let received = self.client.call(&mut None, call, FETCH_TIMEOUT).await?;
         // The number of moves is compared instead of the address, which may be the same again after two
         // moves.
         let is_outdated =
             self.applier.move_count() != move_count || Some(received.list.version) < self.applier.version();
         if !is_outdated {
-            self.apply(events, received, EndpointUpdateKind::Snapshot).await?;
+            let applied = self.apply(events, received, EndpointUpdateKind::Snapshot).await;
+            applied.map_err(|source| CallError { call, elapsed: began_at.elapsed(), source })?;
         }
         Ok(())
     }
@@ -133,25 +135,28 @@
     }
 
     /// Calls discovery repeatedly, with a pause after each failure. Of consecutive failures only the first is
-    /// logged.
+    /// logged, and their count with the success that ends them.
     async fn watch(&self, events: &Rc<dyn EventSink>) {
         let mut connection = None;
-        let mut is_failing = false;
+        let mut failures = 0_u64;
         loop {
             let began_at = Instant::now();
             match self.call_once(&mut connection, events).await {
                 Ok(result) => {
-                    is_failing = false;
+                    if failures > 0 {
+                        self.log_recovery(failures, began_at.elapsed());
+                    }
+                    failures = 0;
                     self.schedule.borrow_mut().reset();
                     if result == WatchResult::Unchanged && began_at.elapsed() < MIN_WATCH_INTERVAL {
                         sleep(MIN_WATCH_INTERVAL).await;
                     }
                 }
                 Err(error) => {
-                    if !is_failing {
+                    if failures == 0 {
                         self.log_failure(&error, "retrying");
                     }
-                    is_failing = true;
+                    failures += 1;
                     connection = None;
                     let pause = self.pause_after_failure(began_at.elapsed());
                     sleep(pause).await;
@@ -174,15 +179,15 @@
         &self,
         connection: &mut Option<HttpConnection>,
         events: &Rc<dyn EventSink>,
-    ) -> Result<WatchResult, DiscoveryError> {
-        let received = match self.applier.version() {
-            Some(version) => {
-                let path = format!("{LIST_PATH}?after={version}&wait_ms={WATCH_WAIT_MS}");
-                self.client.call(connection, &path, WATCH_TIMEOUT).await?
-            }
-            None => self.client.call(connection, LIST_PATH, FIRST_CALL_TIMEOUT).await?,
+    ) -> Result<WatchResult, CallError> {
+        let began_at = Instant::now();
+        let (call, timeout) = match self.applier.version() {
+            Some(version) => (ListCall::ChangesSince(version), WATCH_TIMEOUT),
+            None => (ListCall::FullList, FIRST_CALL_TIMEOUT),
         };
-        self.apply_response(events, received).await
+        let received = self.client.call(connection, call, timeout).await?;
+        let result = self.apply_response(events, received).await;
+        result.map_err(|source| CallError { call, elapsed: began_at.elapsed(), source })
     }
 
     /// Applies the list in the response to a call of the watch, if it is new.
@@ -223,8 +228,16 @@
         self.applier.apply(events, received, kind).await.map_err(DiscoveryError::Worker)
     }
 
-    fn log_failure(&self, error: &DiscoveryError, consequence: &str) {
+    fn log_failure(&self, error: &CallError, consequence: &str) {
         let address = self.client.address.get();
         eprintln!("edge-node: discovery at {address}: {}; {consequence}", ErrorChain(error));
     }
+
+    fn log_recovery(&self, failures: u64, response_time: Duration) {
+        let address = self.client.address.get();
+        let milliseconds = response_time.as_millis();
+        eprintln!(
+            "edge-node: discovery at {address}: response after {milliseconds} ms, {failures} calls failed"
+        );
+    }
 }
