--- a/tests/fakes/discovery.rs
+++ b/tests/fakes/discovery.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::spawn;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
@@ -144,14 +144,17 @@
 }
 
 /// Waits for the next watch at a fake endpoint that takes the place of discovery, and returns it. Fetches of
-/// the full list that arrive before the watch get no response.
+/// the full list that arrive before the watch get no response. Panics if no watch arrives within
+/// [`TEST_TIMEOUT`].
 pub fn next_watch(discovery: &FakeEndpoint) -> ReceivedRequest {
-    loop {
+    let until = Instant::now() + TEST_TIMEOUT;
+    while Instant::now() < until {
         let call = discovery.next_request();
         if watched_version(&call.message).is_some() {
             return call;
         }
     }
+    panic!("only requests for the full list arrived at the fake discovery, and no watch in time");
 }
 
 /// Returns the version from which a call watches. Returns `None` if the call fetches the full list.
--- a/tests/fakes/edge_process.rs
+++ b/tests/fakes/edge_process.rs
@@ -3,8 +3,10 @@
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::thread::spawn;
 use std::time::Instant;
 
 use serde_json::Value;
@@ -32,7 +34,8 @@
     pub address: SocketAddr,
     child: Child,
     configuration_path: PathBuf,
-    log: BufReader<ChildStderr>,
+    /// The lines of the log, each with its line end. Disconnected when the log has ended.
+    log: Receiver<String>,
 }
 
 /// A process that has been started and may not listen yet.
@@ -68,6 +71,22 @@
     configuration["limits"]["sockets"].as_u64().unwrap_or(DEFAULT_DESCRIPTORS)
 }
 
+/// Reads the lines of a log on a thread of its own, so that a test can wait for a line with a time limit.
+fn read_lines(log: impl Read + Send + 'static) -> Receiver<String> {
+    let (sender, lines) = channel();
+    spawn(move || {
+        let mut log = BufReader::new(log);
+        loop {
+            let mut line = String::new();
+            let read = log.read_line(&mut line).expect("failed to read the log");
+            if read == 0 || sender.send(line).is_err() {
+                return;
+            }
+        }
+    });
+    lines
+}
+
 /// Starts a node that is expected to exit by itself, waits for its exit and returns its exit status and log.
 pub fn run_until_exit(configuration: &str) -> ProcessExit {
     let output = launch(configuration).child.wait_with_output().expect("failed to wait for the node's exit");
@@ -81,15 +100,10 @@
     /// Starts a node with this configuration and waits until it listens.
     pub fn start(configuration: &str) -> EdgeProcess {
         let Launched { mut child, configuration_path } = launch(configuration);
-        let mut log =
-            BufReader::new(child.stderr.take().expect("the standard error of the node is not piped"));
+        let log = read_lines(child.stderr.take().expect("the standard error of the node is not piped"));
         let mut line = String::new();
         while !line.starts_with(LISTENING) {
-            line.clear();
-            assert!(
-                log.read_line(&mut line).expect("failed to read the log") > 0,
-                "the node exited before it listened"
-            );
+            line = log.recv_timeout(TEST_TIMEOUT).expect("the node exited, or did not listen in time");
         }
         let address = line
             .trim_end()
@@ -145,14 +159,10 @@
         self.signal("HUP");
     }
 
-    /// Waits for the next line of the log and returns it. Panics if the node exits first.
+    /// Waits for the next line of the log and returns it. Panics if the node exits first, or if there is no
+    /// line within [`TEST_TIMEOUT`].
     pub fn next_log_line(&mut self) -> String {
-        let mut line = String::new();
-        assert!(
-            self.log.read_line(&mut line).expect("failed to read the log") > 0,
-            "the node exited before it wrote a further log line"
-        );
-        line
+        self.log.recv_timeout(TEST_TIMEOUT).expect("the node exited, or wrote no further log line in time")
     }
 
     /// Waits for a line of the log that contains `text`. Lines before it are skipped.
@@ -196,7 +206,13 @@
     /// Waits until the process exits, and returns its exit status and the rest of its log.
     pub fn wait_for_exit(mut self) -> ProcessExit {
         let mut log = String::new();
-        self.log.read_to_string(&mut log).expect("failed to read the log");
+        loop {
+            match self.log.recv_timeout(TEST_TIMEOUT) {
+                Ok(line) => log += &line,
+                Err(RecvTimeoutError::Disconnected) => break,
+                Err(RecvTimeoutError::Timeout) => panic!("the node did not exit in time"),
+            }
+        }
         ProcessExit { status: self.child.wait().expect("failed to wait for the node's exit"), log }
     }
 
