Keep a repeated call to discovery open, so that a slow response is heard

Cause: a call was given up after a fixed time and begun again (0.5 s for the first list after a move, 5 s for a long poll, 2 s for the fetch after a start), so that a discovery slower than it was never heard. Evidence: 'full list after 512 ms: no complete response before the timeout (no response)', 37 calls, no success; with responses after 0.4 s the list was applied, with 0.55 s never (a trial each). Change: what was the time-out is now the time at which a call is overdue and a further one begins. The overdue call stays open until it could not be in time any more (6 s, 10 s for a long poll, 60 s for one call at a time), and its list is applied if no later call brought one as new. Tests renamed with the times: CallTimeout is OverdueTimer, the assertions are the same.

--- a/src/net/discovery/call_times.rs
+++ b/src/net/discovery/call_times.rs
@@ -1,5 +1,11 @@
-//! Limits how long a call to discovery waits for its response.
+//! The times of calls to discovery: when a call that has no response is followed by a further one, and when
+//! it is given up.
+//!
+//! The two are far apart. A call that seems lost is repeated soon, because a lost call gets no response at
+//! all. It stays open beside its repetition, because a slow discovery may respond to it after the repetition
+//! has begun; a node that gave it up then would never hear a discovery slower than that.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::pin;
 use std::time::Duration;
@@ -20,55 +26,69 @@
 /// count as notified [`NOTIFIED_AFTER`] after that call began, so the pause before the retry ends earlier by
 /// this time.
 pub const RETRY_RESPONSE_TIME: Duration = Duration::from_millis(400);
+/// The time left for the response to a node's first call before the list counts as notified.
+pub const FIRST_RESPONSE_TIME: Duration = Duration::from_secs(2);
+
 /// How long discovery holds a long poll open while there is no change, in milliseconds.
 pub(super) const WATCH_WAIT_MS: u64 = 4_000;
-/// The time after [`WATCH_WAIT_MS`] at which the response to a long poll is considered lost.
+const WATCH_WAIT: Duration = Duration::from_millis(WATCH_WAIT_MS);
+/// The time after the end of its wait at which a long poll without a response is overdue.
 const WATCH_GRACE: Duration = Duration::from_millis(1_000);
-/// How long a long poll may remain without a response in total. This is less than [`NOTIFIED_AFTER`], so that
-/// a long poll on a dead connection ends before the changes that it misses count as notified.
-pub const WATCH_TIMEOUT: Duration = Duration::from_millis(WATCH_WAIT_MS).saturating_add(WATCH_GRACE);
-/// How long a fetch of the full list may remain without a response.
-pub const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a call for the first list after a move may remain without a response. Several such calls fit into
+/// When a long poll without a response is overdue. This is less than [`NOTIFIED_AFTER`], so that a further
+/// call is made before the changes that a long poll on a dead connection misses count as notified.
+pub const WATCH_OVERDUE_AFTER: Duration = WATCH_WAIT.saturating_add(WATCH_GRACE);
+/// When a request for the full list without a response is overdue. Several such calls fit into
 /// [`NOTIFIED_AFTER_MOVE`].
-pub const FIRST_CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// The longest pause within a response that extends a timeout: a response that has begun to arrive may exceed
-/// its timeout while no pause in it is longer than this. On a busy core a long list takes a long time to
-/// arrive, and a call that is ended and retried takes that time twice.
+pub const FULL_LIST_OVERDUE_AFTER: Duration = Duration::from_millis(500);
+/// The longest pause within a response that postpones the time at which the call is overdue. On a busy core a
+/// long list takes a long time to arrive, and a further call would take that time again.
 pub const MAX_RESPONSE_PAUSE: Duration = Duration::from_millis(250);
-/// The longest extension of a timeout. Even with it, the first response after a move arrives within
-/// [`NOTIFIED_AFTER_MOVE`].
-pub const MAX_TIMEOUT_EXTENSION: Duration = Duration::from_millis(2_500);
+/// The longest time by which a call is overdue later because its response is arriving.
+pub const MAX_POSTPONEMENT: Duration = Duration::from_millis(2_500);
+
+/// The time after which a request for the full list is given up. A response that is in time for a change that
+/// discovery had when the call began arrives before.
+pub const FULL_LIST_TIME_LIMIT: Duration = NOTIFIED_AFTER;
+/// The time after which a long poll is given up. A response that is in time for a change at the end of
+/// its wait arrives before.
+pub const WATCH_TIME_LIMIT: Duration = WATCH_WAIT.saturating_add(NOTIFIED_AFTER);
+/// The time after which the one call that waits longest is given up. With it, a node hears a discovery that
+/// responds later than changes count as notified: too late, but not never.
+pub const LONGEST_TIME_LIMIT: Duration = Duration::from_secs(60);
 /// The additional time for work whose deadline has passed. If the thread was busy for longer than the
 /// timeout, the timeout expires before data that has already arrived is read.
 const LATE_READ_TIME: Duration = Duration::from_millis(10);
 
-/// The timeout of one call, which is extended while its response arrives.
-#[derive(Clone, Copy)]
-pub struct CallTimeout {
+/// Tells when a call is overdue, so that a further one begins. This is later while its response arrives.
+pub struct OverdueTimer {
     deadline: Instant,
-    /// The longest extension of the deadline while a response is arriving. If a call ended later than that,
-    /// the response to the next call would arrive too late: its changes would already count as notified.
-    max_extension: Duration,
+    /// The longest postponement. If a further call began later than that, its response would arrive too late:
+    /// its changes would already count as notified.
+    max_postponement: Duration,
+    current_deadline: Cell<Instant>,
 }
 
-impl CallTimeout {
-    /// Creates the timeout of a call that began at `began_at` and may remain without a response for `wait`.
+impl OverdueTimer {
+    /// Creates the timer of a call that began at `began_at` and is overdue after `wait` without a response.
     pub fn new(began_at: Instant, wait: Duration) -> Self {
         let time_left = NOTIFIED_AFTER.saturating_sub(RETRY_RESPONSE_TIME + wait);
-        CallTimeout { deadline: began_at + wait, max_extension: MAX_TIMEOUT_EXTENSION.min(time_left) }
+        let deadline = began_at + wait;
+        OverdueTimer {
+            deadline,
+            max_postponement: MAX_POSTPONEMENT.min(time_left),
+            current_deadline: Cell::new(deadline),
+        }
     }
 
-    /// Returns when the call ends if no response arrives.
-    pub fn deadline(self) -> Instant {
-        self.deadline
+    /// Returns when the call is overdue if nothing more of its response arrives.
+    pub fn deadline(&self) -> Instant {
+        self.current_deadline.get()
     }
 
-    /// Returns when the call ends if a part of the response has arrived at `arrived_at` and nothing more
-    /// follows.
-    pub fn deadline_after_bytes(self, arrived_at: Instant) -> Instant {
-        let extended = self.deadline.max(arrived_at + MAX_RESPONSE_PAUSE);
-        extended.min(self.deadline + self.max_extension)
+    /// Postpones the deadline, since a part of the response has arrived at `arrived_at`.
+    pub fn bytes_arrived(&self, arrived_at: Instant) {
+        let postponed = self.deadline.max(arrived_at + MAX_RESPONSE_PAUSE);
+        self.current_deadline.set(postponed.min(self.deadline + self.max_postponement));
     }
 }
 
--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -30,9 +30,9 @@
 /// The reason for which a call to discovery failed.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum DiscoveryError {
-    /// No response, or no further part of it, arrived before the timeout.
-    #[error("no complete response before the timeout ({0})")]
-    TimedOut(CallStage),
+    /// The response has not arrived, or not completely.
+    #[error("no complete response ({0})")]
+    Incomplete(CallStage),
     /// The connection could not be established.
     #[error("cannot connect")]
     Connect(#[source] io::Error),
--- a/src/net/discovery/list_call.rs
+++ b/src/net/discovery/list_call.rs
@@ -1,8 +1,11 @@
 //! The kinds of calls to discovery, and how far a call has come.
 
 use std::fmt;
+use std::time::Duration;
 
-use crate::net::discovery::timeout::WATCH_WAIT_MS;
+use crate::net::discovery::call_times::{
+    FULL_LIST_OVERDUE_AFTER, FULL_LIST_TIME_LIMIT, WATCH_OVERDUE_AFTER, WATCH_TIME_LIMIT, WATCH_WAIT_MS,
+};
 
 /// The path at which discovery serves the endpoint list.
 const LIST_PATH: &str = "/discovery/hosts";
@@ -24,6 +27,22 @@
             ListCall::ChangesSince(version) => format!("{LIST_PATH}?after={version}&wait_ms={WATCH_WAIT_MS}"),
         }
     }
+
+    /// Returns the time after which a further call begins if this one has no response.
+    pub fn overdue_after(self) -> Duration {
+        match self {
+            ListCall::FullList => FULL_LIST_OVERDUE_AFTER,
+            ListCall::ChangesSince(_) => WATCH_OVERDUE_AFTER,
+        }
+    }
+
+    /// Returns the time after which this call is given up.
+    pub fn time_limit(self) -> Duration {
+        match self {
+            ListCall::FullList => FULL_LIST_TIME_LIMIT,
+            ListCall::ChangesSince(_) => WATCH_TIME_LIMIT,
+        }
+    }
 }
 
 impl fmt::Display for ListCall {
--- a/src/net/discovery/list_client.rs
+++ b/src/net/discovery/list_client.rs
@@ -12,9 +12,9 @@
 use tokio::time::Instant;
 
 use crate::net::discovery::apply::ReceivedList;
+use crate::net::discovery::call_times::{finish_by, OverdueTimer};
 use crate::net::discovery::error::{CallError, DiscoveryError, MAX_LIST_BYTES};
 use crate::net::discovery::list_call::{CallStage, ListCall};
-use crate::net::discovery::timeout::{finish_by, CallTimeout};
 use crate::net::http_client::HttpConnection;
 
 /// The head of a response, and the connection on which its body arrives.
@@ -23,54 +23,74 @@
     response: Response<Incoming>,
 }
 
+/// The complete response to a call.
+pub(super) struct ListResponse {
+    pub(super) text: Vec<u8>,
+    /// The connection on which the response arrived, for the next call.
+    pub(super) connection: HttpConnection,
+}
+
+/// The progress of one call.
+pub(super) struct CallProgress {
+    pub(super) call: ListCall,
+    pub(super) began_at: Instant,
+    /// When the call is overdue.
+    pub(super) overdue: OverdueTimer,
+    stage: Cell<CallStage>,
+}
+
+impl CallProgress {
+    /// Starts the times of a call that begins now.
+    pub(super) fn new(call: ListCall) -> Self {
+        let began_at = Instant::now();
+        let overdue = OverdueTimer::new(began_at, call.overdue_after());
+        CallProgress { call, began_at, overdue, stage: Cell::default() }
+    }
+
+    /// Returns the error of this call, which fails now for the reason `source`.
+    pub(super) fn error(&self, source: DiscoveryError) -> CallError {
+        CallError { call: self.call, elapsed: self.began_at.elapsed(), source }
+    }
+
+    /// Returns the error of this call, whose response is not complete.
+    pub(super) fn incomplete(&self) -> CallError {
+        self.error(DiscoveryError::Incomplete(self.stage.get()))
+    }
+}
+
 /// Calls discovery at an address that can be replaced while calls are in flight.
 pub(super) struct ListClient {
     pub(super) address: Cell<SocketAddr>,
 }
 
 impl ListClient {
-    /// Requests a list and returns it when it is complete. Discovery has to begin its response within `wait`;
-    /// while the body keeps arriving, the limits of [`CallTimeout`] apply.
-    ///
-    /// The call uses `connection` if it is open, or else opens a new one. After a complete response with
-    /// status 200 the connection is left in `connection`; otherwise `connection` is `None`.
+    /// Requests a list and returns the response when it is complete, on `kept` if that connection is open, or
+    /// else on a new one.
     ///
     /// # Errors
-    /// Returns an error if the call fails, or if the list in the response is malformed or cannot be applied.
+    /// Returns an error if the call fails, or if the response is not complete within `time_limit`.
     pub(super) async fn call(
         &self,
-        connection: &mut Option<HttpConnection>,
-        call: ListCall,
-        wait: Duration,
-    ) -> Result<ReceivedList, CallError> {
-        let began_at = Instant::now();
-        let result = self.receive(connection, call, CallTimeout::new(began_at, wait)).await;
-        result.map_err(|source| CallError { call, elapsed: began_at.elapsed(), source })
+        kept: Option<HttpConnection>,
+        progress: &CallProgress,
+        time_limit: Duration,
+    ) -> Result<ListResponse, CallError> {
+        let response = finish_by(progress.began_at + time_limit, self.receive(kept, progress)).await;
+        response.ok_or_else(|| progress.incomplete())?.map_err(|source| progress.error(source))
     }
 
     async fn receive(
         &self,
-        connection: &mut Option<HttpConnection>,
-        call: ListCall,
-        timeout: CallTimeout,
-    ) -> Result<ReceivedList, DiscoveryError> {
-        let stage = Cell::default();
-        let path = call.path();
-        let send = self.send(connection.take(), &path, &stage);
-        let sent = finish_by(timeout.deadline(), send).await;
-        let head = sent.ok_or_else(|| DiscoveryError::TimedOut(stage.get()))??;
-        let status = head.response.status();
-        let text = read_text(head.response.into_body(), timeout).await?;
-        if status != StatusCode::OK {
-            return Err(DiscoveryError::Status(status));
-        }
-        *connection = Some(head.connection);
-        let received = ReceivedList::read(text).await.map_err(DiscoveryError::Worker)?;
-        let received = received.map_err(DiscoveryError::Malformed)?;
-        if received.list.is_usable() {
-            Ok(received)
+        kept: Option<HttpConnection>,
+        progress: &CallProgress,
+    ) -> Result<ListResponse, DiscoveryError> {
+        let ResponseHead { connection, response } = self.send(kept, progress).await?;
+        let status = response.status();
+        let text = read_text(response.into_body(), progress).await?;
+        if status == StatusCode::OK {
+            Ok(ListResponse { text, connection })
         } else {
-            Err(DiscoveryError::NoReadableEntry)
+            Err(DiscoveryError::Status(status))
         }
     }
 
@@ -78,42 +98,53 @@
     async fn send(
         &self,
         kept: Option<HttpConnection>,
-        path: &str,
-        stage: &Cell<CallStage>,
+        progress: &CallProgress,
     ) -> Result<ResponseHead, DiscoveryError> {
         let mut connection = match kept.filter(HttpConnection::is_open) {
             Some(connection) => connection,
             None => HttpConnection::open(self.address.get(), ()).await.map_err(DiscoveryError::Connect)?,
         };
-        let request = Request::get(path)
+        let request = Request::get(progress.call.path())
             .header(HOST, self.address.get().to_string())
             .body(Full::<Bytes>::default())
             .map_err(DiscoveryError::InvalidRequest)?;
-        stage.set(CallStage::AwaitingResponse);
+        progress.stage.set(CallStage::AwaitingResponse);
         let response = connection.send(request).await.map_err(DiscoveryError::Send)?;
         Ok(ResponseHead { connection, response })
     }
 }
 
-/// Reads the body of a response. Returns an error if the body exceeds [`MAX_LIST_BYTES`] or misses its
-/// deadline.
-async fn read_text(mut body: Incoming, timeout: CallTimeout) -> Result<Vec<u8>, DiscoveryError> {
+/// Reads the body of a response. Returns an error if the body exceeds [`MAX_LIST_BYTES`].
+async fn read_text(mut body: Incoming, progress: &CallProgress) -> Result<Vec<u8>, DiscoveryError> {
     let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if announced_bytes > MAX_LIST_BYTES {
         return Err(DiscoveryError::TooLong);
     }
     let mut text = Vec::with_capacity(announced_bytes);
-    let mut deadline = timeout.deadline();
-    loop {
-        let next = finish_by(deadline, body.frame()).await;
-        let next = next.ok_or(DiscoveryError::TimedOut(CallStage::ReadingBody(text.len())))?;
-        let Some(frame) = next else { return Ok(text) };
+    progress.stage.set(CallStage::ReadingBody(0));
+    while let Some(frame) = body.frame().await {
         let frame = frame.map_err(DiscoveryError::Body)?;
         let Ok(data) = frame.into_data() else { continue };
         if text.len() + data.len() > MAX_LIST_BYTES {
             return Err(DiscoveryError::TooLong);
         }
         text.extend_from_slice(&data);
-        deadline = timeout.deadline_after_bytes(Instant::now());
+        progress.stage.set(CallStage::ReadingBody(text.len()));
+        progress.overdue.bytes_arrived(Instant::now());
+    }
+    Ok(text)
+}
+
+/// Parses the text of a response.
+///
+/// # Errors
+/// If the list is malformed or cannot be applied.
+pub(super) async fn parse_list(text: Vec<u8>) -> Result<ReceivedList, DiscoveryError> {
+    let received = ReceivedList::read(text).await.map_err(DiscoveryError::Worker)?;
+    let received = received.map_err(DiscoveryError::Malformed)?;
+    if received.list.is_usable() {
+        Ok(received)
+    } else {
+        Err(DiscoveryError::NoReadableEntry)
     }
 }
--- a/src/net/discovery/schedule.rs
+++ b/src/net/discovery/schedule.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::net::discovery::backoff::Backoff;
-use crate::net::discovery::timeout::{FETCH_TIMEOUT, NOTIFIED_AFTER, RETRY_RESPONSE_TIME};
+use crate::net::discovery::call_times::{FIRST_RESPONSE_TIME, NOTIFIED_AFTER, RETRY_RESPONSE_TIME};
 
 /// Minimum of the initial pause at a shared service. [`SPREAD_PER_NODE`] is longer, so the minimum applies
 /// only if the settings give a node count of 0.
@@ -22,10 +22,10 @@
 /// The ratio of the maximum pause to the initial one at a shared service.
 pub const MAX_PAUSE_FACTOR: u32 = 2;
 /// The longest delay of a first call: it leaves time for the response before [`NOTIFIED_AFTER`].
-const MAX_FIRST_CALL_DELAY: Duration = NOTIFIED_AFTER.saturating_sub(FETCH_TIMEOUT);
+const MAX_FIRST_CALL_DELAY: Duration = NOTIFIED_AFTER.saturating_sub(FIRST_RESPONSE_TIME);
 /// The longest pause between calls after a move, until discovery has sent the first list from its new
 /// address. Several calls fit into
-/// [`NOTIFIED_AFTER_MOVE`](crate::net::discovery::timeout::NOTIFIED_AFTER_MOVE).
+/// [`NOTIFIED_AFTER_MOVE`](crate::net::discovery::call_times::NOTIFIED_AFTER_MOVE).
 const MAX_PAUSE_BEFORE_FIRST_LIST: Duration = Duration::from_millis(500);
 /// The share of a pause limited by a deadline that is drawn at random.
 const JITTER_SHARE: f64 = 0.2;
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -1,24 +1,24 @@
-//! Watches the endpoint list by calling discovery for as long as the node runs, and fetches the full list on
-//! request.
+//! Watches the endpoint list by calling discovery for as long as the node runs.
+//!
+//! Each call but the first begins when the latest one has responded, or some time after it has failed or is
+//! overdue. An overdue call stays in flight beside the calls that follow it, and its list is applied whenever
+//! it arrives: a discovery that is slower than the time after which its calls are repeated is heard all the same.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{sleep, Instant};
+use tokio::time::Instant;
 
-use crate::decision::{EndpointUpdateKind, Event};
+use crate::decision::EndpointUpdateKind;
 use crate::net::discovery::apply::{ApplyOutcome, ListApplier, ReceivedList};
-use crate::net::discovery::directory::EndpointDirectory;
-use crate::net::discovery::error::{CallError, DiscoveryError, ErrorChain};
-use crate::net::discovery::labels::PlacementLabels;
+use crate::net::discovery::call_times::finish_by;
+use crate::net::discovery::calls_in_flight::{BegunCall, CallNumber, CallsInFlight, EndedCall};
+use crate::net::discovery::error::{CallError, DiscoveryError};
+use crate::net::discovery::failure_log::FailureLog;
 use crate::net::discovery::list_call::ListCall;
-use crate::net::discovery::list_client::ListClient;
-use crate::net::discovery::parser::EndpointList;
+use crate::net::discovery::list_client::{parse_list, ListClient};
 use crate::net::discovery::schedule::WatchSchedule;
-use crate::net::discovery::timeout::{FETCH_TIMEOUT, FIRST_CALL_TIMEOUT, WATCH_TIMEOUT};
 use crate::net::event_sink::EventSink;
 use crate::net::http_client::HttpConnection;
 
@@ -35,165 +35,162 @@
     Unchanged,
 }
 
-/// A node's client of discovery.
-pub struct Discovery {
-    client: ListClient,
+/// The watch of discovery at one address. Dropping this ends its calls.
+pub(super) struct Watch {
+    client: Rc<ListClient>,
     applier: Rc<ListApplier>,
-    watch_task: RefCell<Option<AbortHandle>>,
-    schedule: RefCell<WatchSchedule>,
+    schedule: Rc<RefCell<WatchSchedule>>,
+    events: Rc<dyn EventSink>,
+    calls: CallsInFlight,
+    /// An open connection without a call, for the next call.
+    idle_connection: Option<HttpConnection>,
+    /// The call that began last among those whose list was applied.
+    latest_applied: CallNumber,
+    /// The first call since discovery last restarted its count of versions, as far as the node knows.
+    first_of_count: CallNumber,
+    log: FailureLog,
 }
 
-impl Discovery {
-    /// Creates a client of discovery at this address, which stores the lists in this directory.
-    pub fn new(
-        address: SocketAddr,
-        directory: Rc<dyn EndpointDirectory>,
-        labels: PlacementLabels,
-        schedule: WatchSchedule,
-    ) -> Rc<Self> {
-        Rc::new(Discovery {
-            client: ListClient { address: address.into() },
-            applier: ListApplier::new(directory, labels),
-            watch_task: RefCell::default(),
-            schedule: RefCell::new(schedule),
-        })
+impl Watch {
+    pub(super) fn new(
+        client: Rc<ListClient>,
+        applier: Rc<ListApplier>,
+        schedule: Rc<RefCell<WatchSchedule>>,
+        events: Rc<dyn EventSink>,
+    ) -> Self {
+        Watch {
+            calls: CallsInFlight::new(client.clone()),
+            client,
+            applier,
+            schedule,
+            events,
+            idle_connection: None,
+            latest_applied: CallNumber::default(),
+            first_of_count: CallNumber::default(),
+            log: FailureLog::default(),
+        }
     }
 
-    /// Applies the list that the node has from its configuration, and starts the watch. If that list has
-    /// entries, the first call is delayed by the schedule.
-    pub fn start(self: &Rc<Self>, events: &Rc<dyn EventSink>, known: EndpointList) {
-        let delay =
-            if known.is_empty() { Duration::ZERO } else { self.schedule.borrow_mut().first_call_delay() };
-        // The list is applied on this thread even if it is long, because no request is waiting yet.
-        self.applier.apply_inline(events.as_ref(), &known, EndpointUpdateKind::StaleSnapshot);
-        self.spawn_watch(events, delay);
+    /// Calls discovery repeatedly, with a pause after each call that has failed or is overdue.
+    pub(super) async fn run(mut self) {
+        loop {
+            let latest = self.calls.begin(self.next_call(), self.idle_connection.take());
+            match self.wait_for_response(&latest).await {
+                Some(result) => {
+                    self.schedule.borrow_mut().reset();
+                    let call_time = latest.progress.began_at.elapsed();
+                    if result == WatchResult::Unchanged && call_time < MIN_WATCH_INTERVAL {
+                        self.apply_late_until(Instant::now() + MIN_WATCH_INTERVAL).await;
+                    }
+                }
+                None => {
+                    let pause = self.pause_after(&latest);
+                    self.apply_late_until(Instant::now() + pause).await;
+                }
+            }
+            while !self.calls.has_room() {
+                let ended = self.calls.next_ended().await;
+                self.apply_late(ended).await;
+            }
+        }
     }
 
-    /// Sets the address of discovery. Does nothing if it is the current one.
-    ///
-    /// The versions at the new address are unrelated to those at the old one, so the full list is requested
-    /// first. The watch at the old address is aborted, and its responses are dropped.
-    pub fn set_address(self: &Rc<Self>, events: &Rc<dyn EventSink>, address: SocketAddr) {
-        if self.client.address.replace(address) != address {
-            self.applier.discovery_moved();
-            self.spawn_watch(events, Duration::ZERO);
+    /// Returns the call that is due: a long poll for changes since the version applied last, or a request for
+    /// the full list if no version is known.
+    fn next_call(&self) -> ListCall {
+        match self.applier.version() {
+            Some(version) => ListCall::ChangesSince(version),
+            None => ListCall::FullList,
         }
     }
 
-    /// Waits until the first response of discovery is applied, even if it contains no change. Returns at once
-    /// if a response was applied since the start.
-    pub async fn wait_for_first_response(&self) {
-        self.applier.wait_for_first_response().await;
+    /// Waits for the response to the latest call, and applies those to earlier calls meanwhile. Returns
+    /// `None` if the latest call fails or is overdue.
+    async fn wait_for_response(&mut self, latest: &BegunCall) -> Option<WatchResult> {
+        loop {
+            let Some(ended) = self.next_ended_unless_overdue(latest).await else {
+                self.log.failed(self.client.address.get(), &latest.progress.incomplete());
+                return None;
+            };
+            if ended.number != latest.number {
+                self.apply_late(ended).await;
+                continue;
+            }
+            return match self.apply_response(ended).await {
+                Ok(result) => {
+                    self.log.responded(self.client.address.get(), &latest.progress);
+                    Some(result)
+                }
+                Err(error) => {
+                    self.log.failed(self.client.address.get(), &error);
+                    None
+                }
+            };
+        }
     }
 
-    /// Starts one fetch of the full list. If the fetch fails and discovery has not moved meanwhile, the
-    /// failure is logged and the decision engine is notified with [`EndpointUpdateKind::WatchLost`].
-    pub fn fetch(self: &Rc<Self>, events: Rc<dyn EventSink>) {
-        let discovery = self.clone();
-        let move_count = self.applier.move_count();
-        spawn_local(async move {
-            let Err(error) = discovery.fetch_once(&events, move_count).await else { return };
-            if discovery.applier.move_count() != move_count {
-                return;
+    /// Waits until a call ends. Returns `None` once the latest call is overdue.
+    async fn next_ended_unless_overdue(&mut self, latest: &BegunCall) -> Option<EndedCall> {
+        loop {
+            let deadline = latest.progress.overdue.deadline();
+            if let Some(ended) = finish_by(deadline, self.calls.next_ended()).await {
+                return Some(ended);
+            }
+            let was_postponed = latest.progress.overdue.deadline() > deadline;
+            if !was_postponed {
+                return None;
             }
-            discovery.log_failure(&error, "the watch continues");
-            // The decision engine has no kind of update of its own for a failed fetch. The watch itself is
-            // not affected.
-            let kind = EndpointUpdateKind::WatchLost;
-            events.send(Event::EndpointsUpdated { kind, entries: Vec::new() });
-        });
+        }
     }
 
-    /// Fetches the full list and applies it, unless discovery has moved since the count of moves was
-    /// `move_count` or the watch has applied a newer list meanwhile. After a move the watch requests the full
-    /// list of the new address in any case.
-    async fn fetch_once(&self, events: &Rc<dyn EventSink>, move_count: u64) -> Result<(), CallError> {
-        let call = ListCall::FullList;
-        let began_at = Instant::now();
-        let received = self.client.call(&mut None, call, FETCH_TIMEOUT).await?;
-        // The number of moves is compared instead of the address, which may be the same again after two
-        // moves.
-        let is_outdated =
-            self.applier.move_count() != move_count || Some(received.list.version) < self.applier.version();
-        if !is_outdated {
-            let applied = self.apply(events, received, EndpointUpdateKind::Snapshot).await;
-            applied.map_err(|source| CallError { call, elapsed: began_at.elapsed(), source })?;
+    /// Applies the responses that arrive before `until`.
+    async fn apply_late_until(&mut self, until: Instant) {
+        while let Ok(ended) = tokio::time::timeout_at(until, self.calls.next_ended()).await {
+            self.apply_late(ended).await;
         }
-        Ok(())
     }
 
-    fn spawn_watch(self: &Rc<Self>, events: &Rc<dyn EventSink>, delay: Duration) {
-        let discovery = self.clone();
-        let events = events.clone();
-        let task = spawn_local(async move {
-            sleep(delay).await;
-            discovery.watch(&events).await;
-        });
-        if let Some(old) = self.watch_task.replace(Some(task.abort_handle())) {
-            old.abort();
+    /// Applies the response to a call that was overdue. Its failure was recorded when it was.
+    async fn apply_late(&mut self, ended: EndedCall) {
+        let progress = ended.progress.clone();
+        if self.apply_response(ended).await.is_ok() {
+            self.log.responded_late(self.client.address.get(), &progress);
         }
     }
 
-    /// Calls discovery repeatedly, with a pause after each failure. Of consecutive failures only the first is
-    /// logged, and their count with the success that ends them.
-    async fn watch(&self, events: &Rc<dyn EventSink>) {
-        let mut connection = None;
-        let mut failures = 0_u64;
-        loop {
-            let began_at = Instant::now();
-            match self.call_once(&mut connection, events).await {
-                Ok(result) => {
-                    if failures > 0 {
-                        self.log_recovery(failures, began_at.elapsed());
-                    }
-                    failures = 0;
-                    self.schedule.borrow_mut().reset();
-                    if result == WatchResult::Unchanged && began_at.elapsed() < MIN_WATCH_INTERVAL {
-                        sleep(MIN_WATCH_INTERVAL).await;
-                    }
-                }
-                Err(error) => {
-                    if failures == 0 {
-                        self.log_failure(&error, "retrying");
-                    }
-                    failures += 1;
-                    connection = None;
-                    let pause = self.pause_after_failure(began_at.elapsed());
-                    sleep(pause).await;
-                }
-            }
+    /// Returns the pause after a call that has failed or is overdue.
+    fn pause_after(&self, latest: &BegunCall) -> Duration {
+        let mut schedule = self.schedule.borrow_mut();
+        match latest.progress.call {
+            ListCall::ChangesSince(_) => schedule.pause_after_failure(latest.progress.began_at.elapsed()),
+            ListCall::FullList => schedule.pause_before_first_list(),
         }
     }
 
-    fn pause_after_failure(&self, call_time: Duration) -> Duration {
-        let mut schedule = self.schedule.borrow_mut();
-        match self.applier.version() {
-            Some(_) => schedule.pause_after_failure(call_time),
-            None => schedule.pause_before_first_list(),
+    /// Applies the list in the response to a call, if it is new.
+    async fn apply_response(&mut self, ended: EndedCall) -> Result<WatchResult, CallError> {
+        let EndedCall { number, progress, result } = ended;
+        let response = result?;
+        let received = parse_list(response.text).await.map_err(|source| progress.error(source))?;
+        self.idle_connection = Some(response.connection);
+        if self.is_superseded(number, received.list.version) {
+            return Ok(WatchResult::Unchanged);
         }
+        let applied = self.apply_list(number, received).await;
+        applied.map_err(|source| progress.error(source))
     }
 
-    /// Makes one call: a long poll for changes since the version applied last, or a request for the full list
-    /// if no version is known.
-    async fn call_once(
-        &self,
-        connection: &mut Option<HttpConnection>,
-        events: &Rc<dyn EventSink>,
-    ) -> Result<WatchResult, CallError> {
-        let began_at = Instant::now();
-        let (call, timeout) = match self.applier.version() {
-            Some(version) => (ListCall::ChangesSince(version), WATCH_TIMEOUT),
-            None => (ListCall::FullList, FIRST_CALL_TIMEOUT),
-        };
-        let received = self.client.call(connection, call, timeout).await?;
-        let result = self.apply_response(events, received).await;
-        result.map_err(|source| CallError { call, elapsed: began_at.elapsed(), source })
+    /// Returns whether a list of this version, in the response to the call with this number, is older than
+    /// one that was applied.
+    fn is_superseded(&self, number: CallNumber, version: u64) -> bool {
+        let is_of_earlier_count = number < self.first_of_count;
+        let is_old = number < self.latest_applied && Some(version) <= self.applier.version();
+        is_of_earlier_count || is_old
     }
 
-    /// Applies the list in the response to a call of the watch, if it is new.
-    async fn apply_response(
-        &self,
-        events: &Rc<dyn EventSink>,
+    async fn apply_list(
+        &mut self,
+        number: CallNumber,
         received: ReceivedList,
     ) -> Result<WatchResult, DiscoveryError> {
         let list = &received.list;
@@ -204,12 +201,16 @@
         } else {
             EndpointUpdateKind::Delta
         };
+        if kind == EndpointUpdateKind::Snapshot && Some(version) < known_version {
+            self.first_of_count = number;
+        }
+        self.latest_applied = self.latest_applied.max(number);
         let has_no_change = kind == EndpointUpdateKind::Delta && list.is_empty();
         // A fetch may have applied a newer list meanwhile, and an older delta would undo its changes.
         let is_outdated = kind == EndpointUpdateKind::Delta && Some(version) < known_version;
         if !has_no_change && !is_outdated {
-            let outcome = self.apply(events, received, kind).await?;
-            if outcome == ApplyOutcome::Applied {
+            let applied = self.applier.apply(&self.events, received, kind).await;
+            if applied.map_err(DiscoveryError::Worker)? == ApplyOutcome::Applied {
                 return Ok(WatchResult::Updated);
             }
         }
@@ -218,26 +219,4 @@
         self.applier.record_version(version);
         Ok(WatchResult::Unchanged)
     }
-
-    async fn apply(
-        &self,
-        events: &Rc<dyn EventSink>,
-        received: ReceivedList,
-        kind: EndpointUpdateKind,
-    ) -> Result<ApplyOutcome, DiscoveryError> {
-        self.applier.apply(events, received, kind).await.map_err(DiscoveryError::Worker)
-    }
-
-    fn log_failure(&self, error: &CallError, consequence: &str) {
-        let address = self.client.address.get();
-        eprintln!("edge-node: discovery at {address}: {}; {consequence}", ErrorChain(error));
-    }
-
-    fn log_recovery(&self, failures: u64, response_time: Duration) {
-        let address = self.client.address.get();
-        let milliseconds = response_time.as_millis();
-        eprintln!(
-            "edge-node: discovery at {address}: response after {milliseconds} ms, {failures} calls failed"
-        );
-    }
 }
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -91,7 +91,7 @@
     ///
     /// Before it accepts the first connection, it waits for `first_response`, for `FIRST_RESPONSE_TIMEOUT` at
     /// most: a change that the discovery agent already holds counts as notified from the node's start on (see
-    /// [`NOTIFIED_AFTER`](crate::net::discovery::timeout::NOTIFIED_AFTER)), and the endpoint list in the
+    /// [`NOTIFIED_AFTER`](crate::net::discovery::call_times::NOTIFIED_AFTER)), and the endpoint list in the
     /// node's configuration may be out of date. If no descriptor is left, idle connections are closed, and
     /// new ones wait in the backlog meanwhile.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, first_response: impl Future<Output = ()>) {
--- a/tests/descriptor_exhaustion.rs
+++ b/tests/descriptor_exhaustion.rs
@@ -6,6 +6,7 @@
 
 mod fakes;
 
+use edge_node::net::discovery::calls_in_flight::MAX_CALLS_IN_FLIGHT;
 use fakes::{
     active, paid_request, request, Client, FakeCounter, FakeEndpoint, NodeConfiguration, ReceivedRequest,
     ReservedPort,
@@ -65,3 +66,35 @@
         assert_eq!(client.response().body, b"held");
     }
 }
+
+/// Guards against calls to a silent discovery that take the descriptors of the counter service, or find none
+/// themselves, because idle clients hold all others.
+#[test]
+fn idle_clients_that_fill_the_descriptors_leave_enough_for_all_calls_to_a_silent_discovery() {
+    let endpoint = FakeEndpoint::start();
+    let counter = FakeCounter::start();
+    let configuration = NodeConfiguration::new(&[active("s-1", endpoint.address)])
+        .counter(counter.address)
+        .counter_timeout(3_000_000)
+        .max_descriptors(40);
+    let edge = configuration.start();
+    let mut idle_clients = edge.connect_having_sent([READINESS_CHECK; 60]);
+    for client in &mut idle_clients {
+        assert_eq!(client.response().status(), 200);
+    }
+    let silent_discovery = FakeEndpoint::start();
+    edge.reload(&configuration.discovery(silent_discovery.address).to_text());
+    let _unanswered: Vec<ReceivedRequest> =
+        (0..MAX_CALLS_IN_FLIGHT).map(|_| silent_discovery.next_request()).collect();
+
+    let [.., mut connected] = idle_clients;
+    // The calls for several accounts are spread over all connections to the counter service.
+    for account in 1..=8 {
+        let request = paid_request("post", &format!("p-{account}")).text();
+        connected.send_raw(&request.replace("key=0000000000000007", &format!("key={account:016x}")));
+        let mut increment = counter.next_call();
+        increment.reply_total(increment.amount);
+        endpoint.next_request().respond_ok("served");
+        assert_eq!(connected.response().body, b"served");
+    }
+}
--- a/tests/list_notification_deadline.rs
+++ b/tests/list_notification_deadline.rs
@@ -7,7 +7,7 @@
 
 use std::time::Instant;
 
-use edge_node::net::discovery::timeout::NOTIFIED_AFTER;
+use edge_node::net::discovery::call_times::NOTIFIED_AFTER;
 use fakes::{
     active, next_watch, request, watched_version, EdgeProcess, FakeEndpoint, NodeConfiguration,
     ReceivedRequest,
--- a/tests/watch_schedule.rs
+++ b/tests/watch_schedule.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use edge_node::net::discovery::schedule::{WatchSchedule, AGENT_MAX_PAUSE, MAX_PAUSE_FACTOR};
-use edge_node::net::discovery::timeout::{
-    CallTimeout, FETCH_TIMEOUT, FIRST_CALL_TIMEOUT, MAX_RESPONSE_PAUSE, MAX_TIMEOUT_EXTENSION,
-    NOTIFIED_AFTER, RETRY_RESPONSE_TIME, WATCH_TIMEOUT,
+use edge_node::net::discovery::call_times::{
+    OverdueTimer, FIRST_RESPONSE_TIME, FULL_LIST_OVERDUE_AFTER, FULL_LIST_TIME_LIMIT, MAX_POSTPONEMENT,
+    MAX_RESPONSE_PAUSE, NOTIFIED_AFTER, RETRY_RESPONSE_TIME, WATCH_OVERDUE_AFTER, WATCH_TIME_LIMIT,
 };
+use edge_node::net::discovery::schedule::{WatchSchedule, AGENT_MAX_PAUSE, MAX_PAUSE_FACTOR};
 use tokio::time::Instant;
 
 /// The time after a move of discovery at which the list at the new address counts as notified.
@@ -48,9 +48,9 @@
 fn first_list_is_requested_before_it_counts_as_notified_in_any_fleet() {
     for seed in 0..300 {
         let mut schedule = WatchSchedule::new(seed, 300, true);
-        assert!(schedule.first_call_delay() + FETCH_TIMEOUT <= NOTIFIED_AFTER);
+        assert!(schedule.first_call_delay() + FIRST_RESPONSE_TIME <= NOTIFIED_AFTER);
         assert!(
-            schedule.pause_before_first_list() + FIRST_CALL_TIMEOUT <= Duration::from_secs(1),
+            schedule.pause_before_first_list() + FULL_LIST_OVERDUE_AFTER <= Duration::from_secs(1),
             "pause and call should take at most 1 s, since the list is due 4 s after a move"
         );
         for _ in 0..9 {
@@ -80,42 +80,50 @@
 }
 
 #[test]
-fn timeout_is_extended_while_a_list_arrives_and_not_for_a_silent_agent() {
+fn call_is_overdue_later_while_a_list_arrives_and_not_for_a_silent_agent() {
     let began_at = Instant::now();
-    for wait in [FIRST_CALL_TIMEOUT, FETCH_TIMEOUT] {
-        let timeout = CallTimeout::new(began_at, wait);
+    for wait in [FULL_LIST_OVERDUE_AFTER, FIRST_RESPONSE_TIME] {
+        let timer = OverdueTimer::new(began_at, wait);
         let deadline = began_at + wait;
         assert_eq!(
-            timeout.deadline(),
+            timer.deadline(),
             deadline,
             "deadline without a response should be the start plus the wait"
         );
+        timer.bytes_arrived(began_at);
+        assert_eq!(timer.deadline(), deadline, "bytes that arrive early should not postpone the deadline");
+        timer.bytes_arrived(deadline);
+        assert_eq!(timer.deadline(), deadline + MAX_RESPONSE_PAUSE);
+        let latest = deadline + MAX_POSTPONEMENT;
+        timer.bytes_arrived(latest);
         assert_eq!(
-            timeout.deadline_after_bytes(began_at),
-            deadline,
-            "bytes that arrive early should not extend the deadline"
-        );
-        assert_eq!(timeout.deadline_after_bytes(deadline), deadline + MAX_RESPONSE_PAUSE);
-        let latest = deadline + MAX_TIMEOUT_EXTENSION;
-        assert_eq!(
-            timeout.deadline_after_bytes(latest),
+            timer.deadline(),
             latest,
-            "deadline should not be extended beyond MAX_TIMEOUT_EXTENSION"
+            "deadline should not be postponed by more than MAX_POSTPONEMENT"
         );
     }
-    assert!(FIRST_CALL_TIMEOUT + MAX_TIMEOUT_EXTENSION <= NOTIFIED_AFTER_MOVE);
-    assert!(FETCH_TIMEOUT + MAX_TIMEOUT_EXTENSION <= NOTIFIED_AFTER);
+    assert!(FULL_LIST_OVERDUE_AFTER + MAX_POSTPONEMENT <= NOTIFIED_AFTER_MOVE);
+    assert!(FIRST_RESPONSE_TIME + MAX_POSTPONEMENT <= NOTIFIED_AFTER);
 }
 
 #[test]
 fn watch_with_a_slow_response_leaves_time_for_the_next_call() {
     let began_at = Instant::now();
-    let timeout = CallTimeout::new(began_at, WATCH_TIMEOUT);
-    let latest = timeout.deadline_after_bytes(began_at + NOTIFIED_AFTER);
-    assert!(latest > began_at + WATCH_TIMEOUT);
+    let timer = OverdueTimer::new(began_at, WATCH_OVERDUE_AFTER);
+    timer.bytes_arrived(began_at + NOTIFIED_AFTER);
+    let latest = timer.deadline();
+    assert!(latest > began_at + WATCH_OVERDUE_AFTER);
     assert!(latest + RETRY_RESPONSE_TIME <= began_at + NOTIFIED_AFTER);
 }
 
+/// Guards against a discovery that is never heard because each call is given up before its response.
+#[test]
+fn no_call_is_given_up_before_its_changes_count_as_notified() {
+    assert!(FULL_LIST_TIME_LIMIT >= NOTIFIED_AFTER);
+    let latest_change = Duration::from_secs(4);
+    assert!(WATCH_TIME_LIMIT >= latest_change + NOTIFIED_AFTER);
+}
+
 #[test]
 fn agent_is_called_without_delay_in_any_fleet() {
     for seed in 0..300 {
