Hear late replies of the counter on a connection that was replaced

Cause: a connection on which nothing arrives for three timeouts is closed and replaced, and with a slow counter each replacement is closed before its first reply: 46 connections, 55 calls, 0 replies heard. Late replies are reported in the order of the calls of their key.

--- a/src/app.rs
+++ b/src/app.rs
@@ -186,7 +186,7 @@
             connection_idle_timeout,
         );
         let counter_address = services.counter.filter(|_| settings.counter.enabled);
-        let counter = CounterClient::new(counter_address, settings.counter.timeout);
+        let counter = CounterClient::new(counter_address, settings.counter.timeout, budget.clone());
         let watch_schedule = WatchSchedule::new(seed, settings.node_count, polls_endpoint_list);
         let discovery = Discovery::new(services.discovery, upstreams.clone(), labels, watch_schedule);
         let max_attempts = settings.limits.max_attempts;
--- a/src/net/counter/client.rs
+++ b/src/net/counter/client.rs
@@ -10,8 +10,10 @@
 use tokio::time::Instant;
 
 use crate::decision::{CounterKey, Event, Micros, Outcome};
-use crate::net::counter::connection::{CounterConnection, QueuedCall, ResultSink};
+use crate::net::counter::connection::{CounterConnection, QueuedCall};
 use crate::net::counter::resp::Increment;
+use crate::net::counter::result_sink::ResultSink;
+use crate::net::descriptor_budget::DescriptorBudget;
 use crate::net::event_sink::EventSink;
 
 /// The number of connections to the counter service. If a part of the service is slow, it delays only the
@@ -31,18 +33,20 @@
     connections: RefCell<Vec<Rc<CounterConnection>>>,
     /// The number of calls whose outcome has not been reported yet.
     open_calls: Rc<Cell<usize>>,
+    budget: Rc<DescriptorBudget>,
 }
 
 impl CounterClient {
     /// Creates a client of the counter service at `address`; with `None` there is no counter service, and
     /// every call fails. A call times out if no reply arrives within `call_timeout`, in microseconds (at
-    /// least 1).
-    pub fn new(address: Option<SocketAddr>, call_timeout: Micros) -> Rc<Self> {
+    /// least 1). Connections that are kept for late replies have permits of `budget`.
+    pub fn new(address: Option<SocketAddr>, call_timeout: Micros, budget: Rc<DescriptorBudget>) -> Rc<Self> {
         Rc::new(CounterClient {
             address: Cell::new(address),
             call_timeout: Duration::from_micros(call_timeout.max(1)),
             connections: RefCell::new(new_connections()),
             open_calls: Rc::default(),
+            budget,
         })
     }
 
@@ -109,7 +113,8 @@
             let connection = connection.clone();
             let results = self.result_sink(events);
             let call_timeout = self.call_timeout;
-            spawn_local(async move { connection.run(&results, address, call_timeout).await });
+            let budget = self.budget.clone();
+            spawn_local(async move { connection.run(&results, &budget, address, call_timeout).await });
         }
     }
 
--- a/src/net/counter/connection.rs
+++ b/src/net/counter/connection.rs
@@ -10,18 +10,21 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::decision::{CounterKey, Event, Outcome};
+use crate::decision::{CounterKey, Outcome};
+use crate::net::counter::late_replies::LateReplies;
 use crate::net::counter::resp::{decode, encode, Increment, Reply, ReplyError};
-use crate::net::event_sink::EventSink;
+use crate::net::counter::result_sink::ResultSink;
+use crate::net::descriptor_budget::DescriptorBudget;
 
 /// A connection on which a reply is due is replaced if nothing has arrived on it for this many call timeouts.
 ///
 /// Otherwise, if the counter service stopped responding on one connection and still replied on the others,
 /// every call on that connection would time out, and the node pauses all counter calls after a timeout. If
-/// every reply takes longer than this, replacing the connection does not help: one connection is opened
-/// needlessly in each such period.
+/// every reply takes longer than this, replacing the connection does not help; the replies arrive on the
+/// replaced one (see [`LateReplies`]).
 const MAX_TIMEOUTS_WITHOUT_REPLY: u32 = 3;
 
 /// A queued call, which has not been encoded for sending yet.
@@ -41,11 +44,20 @@
     /// Whether the counter service has moved to another address. Calls in flight are still completed on this
     /// connection, and no new call is started on it.
     pub(super) retired: Cell<bool>,
+    /// The calls that were sent on a replaced connection, while their replies may still arrive on it.
+    late_replies: RefCell<Option<Rc<LateReplies>>>,
 }
 
 impl CounterConnection {
-    /// Sends the queued calls to `address` and reports their outcomes, until the connection is retired.
-    pub(super) async fn run(&self, results: &ResultSink, address: SocketAddr, call_timeout: Duration) {
+    /// Sends the queued calls to `address` and reports their outcomes, until the connection is retired. While
+    /// a replaced connection is kept, it has a permit of `budget`.
+    pub(super) async fn run(
+        self: &Rc<Self>,
+        results: &ResultSink,
+        budget: &Rc<DescriptorBudget>,
+        address: SocketAddr,
+        call_timeout: Duration,
+    ) {
         loop {
             if self.queue.borrow().is_empty() {
                 if self.retired.get() {
@@ -55,9 +67,55 @@
                 continue;
             }
             if let Some(stream) = self.connect(results, address, call_timeout).await {
-                serve_connection(self, results, stream, call_timeout).await;
+                self.serve(results, budget, stream, call_timeout).await;
+            }
+        }
+    }
+
+    fn late_replies(&self) -> Option<Rc<LateReplies>> {
+        self.late_replies.borrow().clone()
+    }
+
+    /// Sends calls on one open connection until it ends, then reports the calls that have no reply, or keeps
+    /// the connection for late replies.
+    async fn serve(
+        self: &Rc<Self>,
+        results: &ResultSink,
+        budget: &Rc<DescriptorBudget>,
+        mut stream: TcpStream,
+        call_timeout: Duration,
+    ) {
+        let mut session = Session::new(call_timeout);
+        let end = session.run(self, results, &mut stream).await;
+        let may_reply_late = matches!(end, ConnectionEnd::NotResponding);
+        if may_reply_late && self.late_replies().is_none() {
+            if let Some(permit) = budget.try_acquire_upstream() {
+                self.keep_for_late_replies(session, results, stream, permit);
+                return;
             }
         }
+        drop(stream);
+        session.report_unanswered(results, &end, self.late_replies().as_deref());
+    }
+
+    /// Reads late replies from a connection that is replaced. At most one such connection is kept.
+    fn keep_for_late_replies<P: 'static>(
+        self: &Rc<Self>,
+        session: Session,
+        results: &ResultSink,
+        stream: TcpStream,
+        permit: P,
+    ) {
+        let incoming = session.incoming.clone();
+        let late_replies = Rc::new(LateReplies::new(session.report_unwritten_and_time_out(results)));
+        *self.late_replies.borrow_mut() = Some(late_replies.clone());
+        let connection = self.clone();
+        let results = results.clone();
+        spawn_local(async move {
+            late_replies.read(stream, incoming, &results).await;
+            *connection.late_replies.borrow_mut() = None;
+            drop(permit);
+        });
     }
 
     /// Opens a connection to `address` before the first queued call times out.
@@ -92,32 +150,6 @@
     }
 }
 
-/// Reports the outcomes of calls to the decision engine.
-pub(super) struct ResultSink {
-    pub(super) events: Rc<dyn EventSink>,
-    /// The number of calls whose outcome has not been reported yet.
-    pub(super) open_calls: Rc<Cell<usize>>,
-}
-
-impl ResultSink {
-    /// Reports the outcome of a call that was not reported before. `total` is valid with [`Outcome::Ok`].
-    pub(super) fn report(&self, key: CounterKey, outcome: Outcome, total: f64) {
-        self.open_calls.set(self.open_calls.get() - 1);
-        self.events.send(Event::CounterReplied { key, outcome, total });
-    }
-
-    /// Reports the outcome of a call that was encoded for sending and may have been reported as timed out.
-    fn report_pending(&self, call: &PendingIncrement, outcome: Outcome, total: f64) {
-        let key = call.key;
-        // A late reply has an event of its own, so that it is not matched to a later call for the same key.
-        if call.timed_out {
-            self.events.send(Event::LateCounterReply { key, outcome, total });
-        } else {
-            self.report(key, outcome, total);
-        }
-    }
-}
-
 /// A call that was encoded for sending and has no reply yet.
 struct PendingIncrement {
     key: CounterKey,
@@ -128,6 +160,18 @@
     timed_out: bool,
 }
 
+impl PendingIncrement {
+    /// Reports the outcome of this call, which may have been reported as timed out.
+    fn report(&self, results: &ResultSink, outcome: Outcome, total: f64) {
+        // A late reply has an event of its own, so that it is not matched to a later call for the same key.
+        if self.timed_out {
+            results.report_late(self.key, outcome, total);
+        } else {
+            results.report(self.key, outcome, total);
+        }
+    }
+}
+
 /// Why a connection is closed.
 #[derive(Debug, thiserror::Error)]
 enum ConnectionEnd {
@@ -189,19 +233,6 @@
     }
 }
 
-/// Sends calls on one open connection until it ends, then reports the calls that have no reply.
-async fn serve_connection(
-    connection: &CounterConnection,
-    results: &ResultSink,
-    mut stream: TcpStream,
-    call_timeout: Duration,
-) {
-    let mut session = Session::new(call_timeout);
-    let end = session.run(connection, results, &mut stream).await;
-    drop(stream);
-    session.report_unanswered(results, &end);
-}
-
 impl Session {
     fn new(call_timeout: Duration) -> Self {
         Session {
@@ -235,7 +266,7 @@
                 written = writer.write_buf(&mut self.outgoing), if !self.outgoing.is_empty() => {
                     self.bytes_written(written)
                 }
-                received = reader.read_buf(&mut self.incoming) => self.bytes_received(received, results),
+                received = reader.read_buf(&mut self.incoming) => self.bytes_received(received, connection, results),
                 () = connection.wake.notified() => Ok(()),
                 () = sleep_until(next_timer.unwrap_or_else(Instant::now)), if next_timer.is_some() => {
                     self.timer_fired(&timers, results)
@@ -299,6 +330,7 @@
     fn bytes_received(
         &mut self,
         received: std::io::Result<usize>,
+        connection: &CounterConnection,
         results: &ResultSink,
     ) -> Result<(), ConnectionEnd> {
         if !matches!(received, Ok(count) if count > 0) {
@@ -307,9 +339,12 @@
         self.last_received_at = Instant::now();
         while let Some(reply) = decode(&mut self.incoming).map_err(ConnectionEnd::MalformedReply)? {
             let call = self.pending.pop_front().ok_or(ConnectionEnd::UnexpectedReply)?;
+            if let Some(late_replies) = connection.late_replies() {
+                late_replies.supersede(call.key, results);
+            }
             match reply {
-                Reply::Total(total) => results.report_pending(&call, Outcome::Ok, total),
-                Reply::Rejected => results.report_pending(&call, Outcome::Rejected, 0.0),
+                Reply::Total(total) => call.report(results, Outcome::Ok, total),
+                Reply::Rejected => call.report(results, Outcome::Rejected, 0.0),
             }
         }
         self.partial_reply_received_at = (!self.incoming.is_empty()).then(Instant::now);
@@ -341,10 +376,21 @@
 
     /// Reports the calls without a reply after the connection has ended. They are not retried here: the
     /// decision engine judges whether each of them was added.
-    fn report_unanswered(self, results: &ResultSink, end: &ConnectionEnd) {
+    ///
+    /// Calls that have timed out are left to `late_replies`, if there are any to be reported before.
+    fn report_unanswered(
+        self,
+        results: &ResultSink,
+        end: &ConnectionEnd,
+        late_replies: Option<&LateReplies>,
+    ) {
         let reply_was_malformed =
             matches!(end, ConnectionEnd::MalformedReply(_) | ConnectionEnd::IncompleteReply);
         for (position, call) in self.pending.into_iter().enumerate() {
+            if let (Some(late_replies), true) = (late_replies, call.timed_out) {
+                late_replies.add_lost(call.key);
+                continue;
+            }
             let outcome = if call.ends_at_byte > self.written_bytes {
                 // The call was not written completely, so it was not added.
                 Outcome::ConnectFailed
@@ -355,7 +401,24 @@
                 // The call was written completely, so it may have been added.
                 Outcome::Reset
             };
-            results.report_pending(&call, outcome, 0.0);
+            call.report(results, outcome, 0.0);
+        }
+    }
+
+    /// Reports the calls that were not written completely as not added, and the others as timed out. Returns
+    /// the keys of the latter, whose replies may still arrive.
+    fn report_unwritten_and_time_out(self, results: &ResultSink) -> Vec<CounterKey> {
+        let mut keys = Vec::new();
+        for call in self.pending {
+            if call.ends_at_byte > self.written_bytes {
+                call.report(results, Outcome::ConnectFailed, 0.0);
+                continue;
+            }
+            keys.push(call.key);
+            if !call.timed_out {
+                results.report(call.key, Outcome::TimedOut, 0.0);
+            }
         }
+        keys
     }
 }
--- a/src/net/counter/mod.rs
+++ b/src/net/counter/mod.rs
@@ -2,6 +2,8 @@
 
 mod client;
 mod connection;
+pub mod late_replies;
 pub mod resp;
+pub mod result_sink;
 
 pub use crate::net::counter::client::CounterClient;
--- a/src/net/descriptor_budget.rs
+++ b/src/net/descriptor_budget.rs
@@ -120,7 +120,8 @@
         Some(self.issue(Side::Downstream))
     }
 
-    /// Returns a permit for a connection to an endpoint. Returns `None` if all permits are in use.
+    /// Returns a permit for a connection to an endpoint, or for one to the counter service that was replaced.
+    /// Returns `None` if all permits are in use.
     pub fn try_acquire_upstream(self: &Rc<Self>) -> Option<DescriptorPermit> {
         if self.is_exhausted() {
             return None;
--- a/tests/endpoint_lists/node.rs
+++ b/tests/endpoint_lists/node.rs
@@ -58,7 +58,7 @@
         let upstreams =
             Upstreams::new(DescriptorBudget::new(64), connection_memory, body_memory, 250_000, 10_000_000);
         let discovery = Discovery::new(agent.address, upstreams.clone(), labels(), schedule);
-        let counter = CounterClient::new(None, settings.counter.timeout);
+        let counter = CounterClient::new(None, settings.counter.timeout, DescriptorBudget::new(64));
         let engine = DecisionEngine::new(1, settings);
         let event_loop = EventLoop::new(engine, 4, upstreams, counter, discovery.clone());
         Node { events: event_loop.clone(), event_loop, discovery }
--- a/tests/fakes/in_process.rs
+++ b/tests/fakes/in_process.rs
@@ -53,7 +53,7 @@
         let labels = PlacementLabels::new(Vec::new(), Vec::new());
         let schedule = WatchSchedule::new(1, settings.node_count, false);
         let discovery = Discovery::new(unreachable_address(), upstreams.clone(), labels, schedule);
-        let counter = CounterClient::new(None, settings.counter.timeout);
+        let counter = CounterClient::new(None, settings.counter.timeout, budget.clone());
         let event_loop =
             EventLoop::new(DecisionEngine::new(1, settings), 4, upstreams, counter, discovery.clone());
         let downstream = DownstreamServer::new(event_loop, rules, budget, connection_memory, body_memory);
