Report a call that was not written in its order, when its connection is replaced

Cause, read in the change before: a timed-out call that was not written completely was reported at once, so that the decisions would match its outcome to an earlier call of its key whose reply is still awaited. Change: it takes its turn behind them.

--- a/src/net/counter/connection.rs
+++ b/src/net/counter/connection.rs
@@ -107,7 +107,7 @@
         permit: P,
     ) {
         let incoming = session.incoming.clone();
-        let late_replies = Rc::new(LateReplies::new(session.report_unwritten_and_time_out(results)));
+        let late_replies = Rc::new(session.into_late_replies(results));
         *self.late_replies.borrow_mut() = Some(late_replies.clone());
         let connection = self.clone();
         let results = results.clone();
@@ -405,20 +405,23 @@
         }
     }
 
-    /// Reports the calls that were not written completely as not added, and the others as timed out. Returns
-    /// the keys of the latter, whose replies may still arrive.
-    fn report_unwritten_and_time_out(self, results: &ResultSink) -> Vec<CounterKey> {
-        let mut keys = Vec::new();
-        for call in self.pending {
-            if call.ends_at_byte > self.written_bytes {
-                call.report(results, Outcome::ConnectFailed, 0.0);
-                continue;
-            }
-            keys.push(call.key);
-            if !call.timed_out {
-                results.report(call.key, Outcome::TimedOut, 0.0);
+    /// Reports every call that was not reported before: as timed out, or as not added if it was not written
+    /// completely. Returns the calls whose replies may still arrive.
+    fn into_late_replies(self, results: &ResultSink) -> LateReplies {
+        let written_bytes = self.written_bytes;
+        let was_written = |call: &PendingIncrement| call.ends_at_byte <= written_bytes;
+        let (written, unwritten): (Vec<_>, Vec<_>) = self.pending.into_iter().partition(was_written);
+        let late_replies = LateReplies::new(written.iter().map(|call| call.key));
+        for call in written.iter().filter(|call| !call.timed_out) {
+            results.report(call.key, Outcome::TimedOut, 0.0);
+        }
+        for call in unwritten {
+            if call.timed_out {
+                late_replies.add_lost(call.key);
+            } else {
+                results.report(call.key, Outcome::ConnectFailed, 0.0);
             }
         }
-        keys
+        late_replies
     }
 }
