--- a/src/net/counter/client.rs
+++ b/src/net/counter/client.rs
@@ -11,6 +11,7 @@
 
 use crate::decision::{CounterKey, Event, Micros, Outcome};
 use crate::net::counter::connection::{CounterConnection, QueuedCall};
+use crate::net::counter::connection_task::ConnectionTask;
 use crate::net::counter::resp::Increment;
 use crate::net::counter::result_sink::ResultSink;
 use crate::net::descriptor_budget::DescriptorBudget;
@@ -110,11 +111,14 @@
     pub fn start(&self, events: &Rc<dyn EventSink>) {
         let Some(address) = self.address.get() else { return };
         for connection in self.connections.borrow().iter() {
-            let connection = connection.clone();
-            let results = self.result_sink(events);
-            let call_timeout = self.call_timeout;
-            let budget = self.budget.clone();
-            spawn_local(async move { connection.run(&results, &budget, address, call_timeout).await });
+            let task = ConnectionTask {
+                connection: connection.clone(),
+                results: self.result_sink(events),
+                budget: self.budget.clone(),
+                address,
+                call_timeout: self.call_timeout,
+            };
+            spawn_local(task.run());
         }
     }
 
--- a/src/net/counter/mod.rs
+++ b/src/net/counter/mod.rs
@@ -2,8 +2,10 @@
 
 mod client;
 mod connection;
+mod connection_task;
 pub mod late_replies;
 pub mod resp;
 pub mod result_sink;
+mod session;
 
 pub use crate::net::counter::client::CounterClient;
