Bound the responses of discovery that arrive together

Cause: since calls stay open beside those that follow them, up to eight lists may arrive at one time, each of 32 MiB at most; two could before (the watch and a fetch). Change: all of them together may hold as much as two longest lists; what is beyond fails its call.

--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -16,7 +16,7 @@
 use crate::net::discovery::failure_log::log_failure;
 use crate::net::discovery::labels::PlacementLabels;
 use crate::net::discovery::list_call::ListCall;
-use crate::net::discovery::list_client::{parse_list, CallProgress, ListClient};
+use crate::net::discovery::list_client::{CallProgress, ListClient, ListResponse, ParsedResponse};
 use crate::net::discovery::parser::EndpointList;
 use crate::net::discovery::schedule::WatchSchedule;
 use crate::net::discovery::watch::Watch;
@@ -39,7 +39,7 @@
         schedule: WatchSchedule,
     ) -> Rc<Self> {
         Rc::new(Discovery {
-            client: Rc::new(ListClient { address: address.into() }),
+            client: Rc::new(ListClient::new(address)),
             applier: ListApplier::new(directory, labels),
             watch_task: RefCell::default(),
             schedule: Rc::new(RefCell::new(schedule)),
@@ -94,7 +94,7 @@
     async fn fetch_once(&self, events: &Rc<dyn EventSink>, move_count: u64) -> Result<(), CallError> {
         let progress = CallProgress::new(ListCall::FullList);
         let response = self.client.call(None, &progress, progress.call.time_limit()).await?;
-        let applied = self.apply_fetched(events, response.text, move_count).await;
+        let applied = self.apply_fetched(events, response, move_count).await;
         applied.map_err(|source| progress.error(source))
     }
 
@@ -104,10 +104,10 @@
     async fn apply_fetched(
         &self,
         events: &Rc<dyn EventSink>,
-        text: Vec<u8>,
+        response: ListResponse,
         move_count: u64,
     ) -> Result<(), DiscoveryError> {
-        let received = parse_list(text).await?;
+        let ParsedResponse { received, connection: _connection } = response.parse().await?;
         // The number of moves is compared instead of the address, which may be the same again after two
         // moves.
         let is_outdated =
--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinError;
 
 use crate::net::discovery::list_call::{CallStage, ListCall};
+use crate::net::discovery::response_bytes::MAX_RESPONSE_BYTES;
 use crate::net::http_client::SendError;
 
 /// Maximum length of a list in bytes: twice that of an indented list of 46,000 endpoints with long names.
@@ -57,6 +58,9 @@
     /// The list is longer than [`MAX_LIST_BYTES`].
     #[error("list is longer than {MAX_LIST_BYTES} bytes")]
     TooLong,
+    /// The responses that are being received are together longer than [`MAX_RESPONSE_BYTES`].
+    #[error("responses that arrive at one time are together longer than {MAX_RESPONSE_BYTES} bytes")]
+    TooLongTogether,
     /// The thread that parses or prepares a long list failed.
     #[error("the thread that prepares long lists failed")]
     Worker(#[source] JoinError),
--- a/src/net/discovery/list_client.rs
+++ b/src/net/discovery/list_client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use crate::net::discovery::call_times::{finish_by, OverdueTimer};
 use crate::net::discovery::error::{CallError, DiscoveryError, MAX_LIST_BYTES};
 use crate::net::discovery::list_call::{CallStage, ListCall};
+use crate::net::discovery::response_bytes::{ResponseBuffer, ResponseBytes};
 use crate::net::http_client::HttpConnection;
 
 /// The head of a response, and the connection on which its body arrives.
@@ -25,7 +27,30 @@
 
 /// The complete response to a call.
 pub(super) struct ListResponse {
-    pub(super) text: Vec<u8>,
+    body: ResponseBuffer,
+    /// The connection on which the response arrived.
+    connection: HttpConnection,
+}
+
+impl ListResponse {
+    /// Parses the list. Returns it, and the connection for the next call.
+    ///
+    /// # Errors
+    /// If the list is malformed or cannot be applied.
+    pub(super) async fn parse(self) -> Result<ParsedResponse, DiscoveryError> {
+        let received = ReceivedList::read(self.body.into_text()).await.map_err(DiscoveryError::Worker)?;
+        let received = received.map_err(DiscoveryError::Malformed)?;
+        if received.list.is_usable() {
+            Ok(ParsedResponse { received, connection: self.connection })
+        } else {
+            Err(DiscoveryError::NoReadableEntry)
+        }
+    }
+}
+
+/// The list in the response to a call.
+pub(super) struct ParsedResponse {
+    pub(super) received: ReceivedList,
     /// The connection on which the response arrived, for the next call.
     pub(super) connection: HttpConnection,
 }
@@ -61,9 +86,15 @@
 /// Calls discovery at an address that can be replaced while calls are in flight.
 pub(super) struct ListClient {
     pub(super) address: Cell<SocketAddr>,
+    /// The bytes of the responses to all calls in flight.
+    response_bytes: Rc<ResponseBytes>,
 }
 
 impl ListClient {
+    pub(super) fn new(address: SocketAddr) -> Self {
+        ListClient { address: Cell::new(address), response_bytes: Rc::default() }
+    }
+
     /// Requests a list and returns the response when it is complete, on `kept` if that connection is open, or
     /// else on a new one.
     ///
@@ -86,9 +117,10 @@
     ) -> Result<ListResponse, DiscoveryError> {
         let ResponseHead { connection, response } = self.send(kept, progress).await?;
         let status = response.status();
-        let text = read_text(response.into_body(), progress).await?;
+        let mut body = self.response_bytes.buffer();
+        read_body(response.into_body(), &mut body, progress).await?;
         if status == StatusCode::OK {
-            Ok(ListResponse { text, connection })
+            Ok(ListResponse { body, connection })
         } else {
             Err(DiscoveryError::Status(status))
         }
@@ -114,13 +146,18 @@
     }
 }
 
-/// Reads the body of a response. Returns an error if the body exceeds [`MAX_LIST_BYTES`].
-async fn read_text(mut body: Incoming, progress: &CallProgress) -> Result<Vec<u8>, DiscoveryError> {
+/// Reads the body of a response into `text`. Returns an error if the body exceeds [`MAX_LIST_BYTES`], or all
+/// responses together exceed their bound.
+async fn read_body(
+    mut body: Incoming,
+    text: &mut ResponseBuffer,
+    progress: &CallProgress,
+) -> Result<(), DiscoveryError> {
     let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if announced_bytes > MAX_LIST_BYTES {
         return Err(DiscoveryError::TooLong);
     }
-    let mut text = Vec::with_capacity(announced_bytes);
+    text.expect_length(announced_bytes);
     progress.stage.set(CallStage::ReadingBody(0));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(DiscoveryError::Body)?;
@@ -128,23 +165,11 @@
         if text.len() + data.len() > MAX_LIST_BYTES {
             return Err(DiscoveryError::TooLong);
         }
-        text.extend_from_slice(&data);
+        if !text.append(&data) {
+            return Err(DiscoveryError::TooLongTogether);
+        }
         progress.stage.set(CallStage::ReadingBody(text.len()));
         progress.overdue.bytes_arrived(Instant::now());
     }
-    Ok(text)
-}
-
-/// Parses the text of a response.
-///
-/// # Errors
-/// If the list is malformed or cannot be applied.
-pub(super) async fn parse_list(text: Vec<u8>) -> Result<ReceivedList, DiscoveryError> {
-    let received = ReceivedList::read(text).await.map_err(DiscoveryError::Worker)?;
-    let received = received.map_err(DiscoveryError::Malformed)?;
-    if received.list.is_usable() {
-        Ok(received)
-    } else {
-        Err(DiscoveryError::NoReadableEntry)
-    }
+    Ok(())
 }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -24,6 +24,7 @@
 pub mod list_call;
 mod list_client;
 pub mod parser;
+pub mod response_bytes;
 pub mod schedule;
 pub mod snapshot;
 mod watch;
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -17,7 +17,7 @@
 use crate::net::discovery::error::{CallError, DiscoveryError};
 use crate::net::discovery::failure_log::FailureLog;
 use crate::net::discovery::list_call::ListCall;
-use crate::net::discovery::list_client::{parse_list, ListClient};
+use crate::net::discovery::list_client::{ListClient, ParsedResponse};
 use crate::net::discovery::schedule::WatchSchedule;
 use crate::net::event_sink::EventSink;
 use crate::net::http_client::HttpConnection;
@@ -170,9 +170,9 @@
     /// Applies the list in the response to a call, if it is new.
     async fn apply_response(&mut self, ended: EndedCall) -> Result<WatchResult, CallError> {
         let EndedCall { number, progress, result } = ended;
-        let response = result?;
-        let received = parse_list(response.text).await.map_err(|source| progress.error(source))?;
-        self.idle_connection = Some(response.connection);
+        let parsed = result?.parse().await.map_err(|source| progress.error(source))?;
+        let ParsedResponse { received, connection } = parsed;
+        self.idle_connection = Some(connection);
         if self.is_superseded(number, received.list.version) {
             return Ok(WatchResult::Unchanged);
         }
