--- a/src/net/discovery/calls_in_flight.rs
+++ b/src/net/discovery/calls_in_flight.rs
@@ -37,12 +37,12 @@
     tasks: JoinSet<EndedCall>,
     latest: CallNumber,
     /// The call that may stay in flight for [`LONGEST_TIME_LIMIT`], if one is.
-    longest: Option<CallNumber>,
+    longest_waiting: Option<CallNumber>,
 }
 
 impl CallsInFlight {
     pub(super) fn new(client: Rc<ListClient>) -> Self {
-        CallsInFlight { client, tasks: JoinSet::new(), latest: CallNumber::default(), longest: None }
+        CallsInFlight { client, tasks: JoinSet::new(), latest: CallNumber::default(), longest_waiting: None }
     }
 
     /// Returns whether a further call may begin.
@@ -54,11 +54,11 @@
     pub(super) fn begin(&mut self, call: ListCall, kept: Option<HttpConnection>) -> BegunCall {
         self.latest = CallNumber(self.latest.0 + 1);
         let number = self.latest;
-        let time_limit = match self.longest {
+        let time_limit = match self.longest_waiting {
             Some(_) => call.time_limit(),
             None => LONGEST_TIME_LIMIT,
         };
-        self.longest.get_or_insert(number);
+        self.longest_waiting.get_or_insert(number);
         let progress = Rc::new(CallProgress::new(call));
         let client = self.client.clone();
         let shared_progress = progress.clone();
@@ -74,7 +74,7 @@
         loop {
             match self.tasks.join_next().await {
                 Some(Ok(ended)) => {
-                    self.longest.take_if(|longest| *longest == ended.number);
+                    self.longest_waiting.take_if(|number| *number == ended.number);
                     return ended;
                 }
                 // The task has panicked; its call has no response.
--- a/src/net/discovery/failure_log.rs
+++ b/src/net/discovery/failure_log.rs
@@ -17,7 +17,7 @@
     /// Records a call that has failed, or is overdue.
     pub(super) fn failed(&mut self, address: SocketAddr, error: &CallError) {
         if self.failures == 0 {
-            log_failure(address, error, "calling again");
+            log_failure(address, error, "retrying");
         }
         self.failures += 1;
     }
