--- a/src/net/counter/session.rs
+++ b/src/net/counter/session.rs
@@ -18,8 +18,8 @@
 ///
 /// Otherwise, if the counter service stopped responding on one connection and still replied on the others,
 /// every call on that connection would time out, and the node pauses all counter calls after a timeout. If
-/// every reply takes longer than this, replacing the connection does not help; the replies arrive on the
-/// replaced one (see [`LateReplies`]).
+/// every reply takes longer than this, replacing the connection does not help: one connection is opened
+/// needlessly in each such period. The replies are heard on the replaced one (see [`LateReplies`]).
 const MAX_TIMEOUTS_WITHOUT_REPLY: u32 = 3;
 
 /// A call that was encoded for sending and has no reply yet.
--- a/src/net/descriptor_budget.rs
+++ b/src/net/descriptor_budget.rs
@@ -9,8 +9,8 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant};
 
-/// Descriptors reserved for the listener, all calls to discovery that may be in flight, the counter, the runtime
-/// and the standard streams.
+/// Descriptors reserved for the listener, all calls to discovery that may be in flight, the counter, the
+/// runtime and the standard streams.
 pub const RESERVED_DESCRIPTORS: usize = 24;
 /// The largest share of the permits that client connections may hold. An open request needs one permit
 /// downstream and one upstream, so some permits have to remain for endpoint connections.
--- a/src/net/discovery/call_times.rs
+++ b/src/net/discovery/call_times.rs
@@ -43,7 +43,8 @@
 /// The longest pause within a response that postpones the time at which the call is overdue. On a busy core a
 /// long list takes a long time to arrive, and a further call would take that time again.
 pub const MAX_RESPONSE_PAUSE: Duration = Duration::from_millis(250);
-/// The longest time by which a call is overdue later because its response is arriving.
+/// The longest time by which a call is overdue later because its response is arriving. Even with it, the first
+/// call after a move is overdue within [`NOTIFIED_AFTER_MOVE`].
 pub const MAX_POSTPONEMENT: Duration = Duration::from_millis(2_500);
 
 /// The time after which a request for the full list is given up. A response that is in time for a change that
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -46,8 +46,8 @@
     idle_connection: Option<HttpConnection>,
     /// The call that began last among those whose list was applied.
     latest_applied: CallNumber,
-    /// The first call since discovery last restarted its count of versions, as far as the node knows.
-    first_of_count: CallNumber,
+    /// The call whose response last showed that discovery has restarted its count of versions.
+    restart_seen_by: CallNumber,
     log: FailureLog,
 }
 
@@ -66,7 +66,7 @@
             events,
             idle_connection: None,
             latest_applied: CallNumber::default(),
-            first_of_count: CallNumber::default(),
+            restart_seen_by: CallNumber::default(),
             log: FailureLog::default(),
         }
     }
@@ -183,9 +183,9 @@
     /// Returns whether a list of this version, in the response to the call with this number, is older than
     /// one that was applied.
     fn is_superseded(&self, number: CallNumber, version: u64) -> bool {
-        let is_of_earlier_count = number < self.first_of_count;
+        let began_before_restart = number < self.restart_seen_by;
         let is_old = number < self.latest_applied && Some(version) <= self.applier.version();
-        is_of_earlier_count || is_old
+        began_before_restart || is_old
     }
 
     async fn apply_list(
@@ -202,7 +202,7 @@
             EndpointUpdateKind::Delta
         };
         if kind == EndpointUpdateKind::Snapshot && Some(version) < known_version {
-            self.first_of_count = number;
+            self.restart_seen_by = number;
         }
         self.latest_applied = self.latest_applied.max(number);
         let has_no_change = kind == EndpointUpdateKind::Delta && list.is_empty();
